Spend probes on the requests with most at stake

Probes were paid for by traffic at a fixed share of the service and went to whichever request came next. Now each request is weighed: what it stands to lose when sent blind (share of busy servers, how much of its time its own work takes, its worth) against the price of two probes. What finds an idle server is sent there; the gate that learns from blind misses no longer refuses it.

About 0.17 probes a request were made, by light and heavy ones alike; a light one is as good as sure of its answer without.

Ruled out: opening the gate alone.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,5 +1,7 @@
-//! Every decision of hillpick. Types, events and actions are in `src/interface.rs`; what a node
-//! remembers of servers and requests in `src/state.rs`; departures from the paper in `README.md`.
+//! The decisions of hillpick; those on probes are in `src/policy/probing.rs`. Types, events and actions are
+//! in `src/interface.rs`; what a node remembers of servers and requests in `src/state.rs`.
+
+mod probing;
 
 use crate::interface::*;
 pub use crate::state::Balancer;
@@ -9,7 +11,7 @@
 use std::time::Duration;
 
 const TICK: u64 = u64::MAX; // the token of the housekeeping timer; a request's timers carry its id
-/// The share of the service that probes, and connections, may cost: little beside what blind sends cost.
+/// The share of the service that connections may cost: little beside what blind sends cost.
 const PRICE_SPEND: f64 = 0.01;
 /// Further attempts, as a share of first attempts: the usual retry budget.
 const RETRY_SHARE: f64 = 0.4;
@@ -145,26 +147,15 @@
         self.fresh_load(server).map_or(guess, |load| load.max(server.out.into()))
     }
 
-    /// The load that a probe told of lately, with own sends since.
-    fn fresh_load(&self, server: &Server) -> Option<f64> {
-        server.load.filter(|&(_, at)| self.probes_tell() && self.fresh(at)).map(|(load, _)| load)
-    }
-
-    /// A queue turns over within about one answer time; then news of it is old.
-    fn fresh(&self, at: Duration) -> bool {
-        (self.now - at).as_secs_f64() <= self.answer_time / 4.0
-    }
-
-    fn probes_tell(&self) -> bool {
-        self.settings.reports == ReportSource::Probes && self.settings.limits.probes
-    }
-
     /// Soft gate: at this crowding, at least three in four of what was sent have come back in time; luck
     /// decides where it does not look crowded, since many nodes together may crowd it all the same.
     fn fits(&self, server: &Server, request: &Request, luck: f64) -> bool {
         let level = self.crowd(server).round() as usize;
         let chance = luck.powf(request.value);
-        let open = chance <= self.taken && (level == 0 || self.in_time[level.min(LEVELS - 1)] >= 0.75);
+        // A misfortune of blind sends is no reason to refuse what has found an idle server.
+        let idle = self.fresh_load(server).is_some_and(|load| load < 0.5);
+        let open =
+            (idle || chance <= self.taken) && (level == 0 || self.in_time[level.min(LEVELS - 1)] >= 0.75);
         // A few are tried in any case, or else nothing would tell of better times.
         open || server.out == 0 && chance < SMOOTH / 2.0
     }
@@ -250,6 +241,7 @@
         let fitting = self.uncrowded(fits.collect());
         let (below, any) = (self.below_cap(&fitting, draw), any_of(&fitting, draw));
         let ask = below.is_none() && !request.probed && !self.held.contains(&id);
+        let ask = ask && self.worth_probing(request);
         let unknown = |s: &&&Server| ask && !s.probing && self.fresh_load(s).is_none();
         let unknown: Vec<_> = healthy.iter().filter(unknown).map(|s| s.entry.id).collect();
         // The lowest estimate below m, or a probe for one, or one at random where all have reached m.
@@ -453,8 +445,6 @@
         let weight = self.weigh(new.cost);
         self.arrived.add(self.now, self.memory(), weight);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(2.0 / RETRY_SHARE);
-        let paid = PRICE_SPEND / self.settings.prices.probe.max(1e-9);
-        self.probe_tokens = (self.probe_tokens + paid).min(self.order.len() as f64);
         let (value, probed) = (self.value(class, new.tenant), !self.probes_tell());
         let request = Request { class, weight, value, until, probed, ..Request::default() };
         self.requests.insert(new.id, request);
@@ -508,41 +498,6 @@
         }
     }
 
-    /// Probes servers at the cap, two at a time, as own traffic has paid, and holds the request meanwhile.
-    fn probe(&mut self, id: RequestId, mut targets: Vec<ServerId>, actions: &mut Vec<Action>) -> bool {
-        for _ in 0..2.min(self.probe_tokens as usize) {
-            let draw = (self.random() * targets.len() as f64) as usize;
-            let Some(target) = targets.get(draw).copied() else { break };
-            targets.retain(|t| *t != target);
-            self.probe_tokens -= 1.0;
-            self.servers.entry(target).and_modify(|s| s.probing = true);
-            self.probes_out += 1;
-            actions.push(Action::Probe { server: target });
-        }
-        if self.probes_out == 0 {
-            return false;
-        }
-        self.held.push(id);
-        // A server that answers a probe later than this is no place to send to.
-        let patience = Duration::from_secs_f64(self.answer_time / 16.0).max(4 * self.settings.tick);
-        actions.push(Action::SetTimer { after: patience, token: id.0 });
-        true
-    }
-
-    fn on_probed(&mut self, end: ProbeEnd, actions: &mut Vec<Action>) {
-        self.servers.entry(end.server).and_modify(|s| (s.probing, s.load) = (false, None));
-        self.on_report(end.server, end.report, end.outcome == Outcome::Served);
-        if end.outcome == Outcome::ConnectFailed {
-            self.judge(end.server, 1.0, 1.0);
-        }
-        self.probes_out = self.probes_out.saturating_sub(1);
-        let last = self.probes_out == 0;
-        for id in self.held.clone() {
-            self.held.retain(|held| !last || *held != id);
-            self.dispatch(id, actions);
-        }
-    }
-
     fn on_list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
         if kind == ListKind::Failed {
             let within = self.settings.rules.ask_within;
--- /dev/null
+++ b/src/policy/probing.rs
@@ -0,0 +1,77 @@
+//! Probes: which requests are worth them, whom they go to, and what they tell.
+
+use super::SMOOTH;
+use crate::interface::*;
+use crate::state::{Balancer, Request, Server};
+use std::time::Duration;
+
+/// So many servers are probed for a request: the better of two is nearly as good as the best of all.
+const PROBES: u32 = 2;
+
+impl Balancer {
+    pub(super) fn probes_tell(&self) -> bool {
+        self.settings.reports == ReportSource::Probes && self.settings.limits.probes
+    }
+
+    /// The load that a probe told of lately, with own sends since.
+    pub(super) fn fresh_load(&self, server: &Server) -> Option<f64> {
+        server.load.filter(|&(_, at)| self.probes_tell() && self.fresh(at)).map(|(load, _)| load)
+    }
+
+    /// A queue turns over within about one answer time; then news of it is old.
+    pub(super) fn fresh(&self, at: Duration) -> bool {
+        (self.now - at).as_secs_f64() <= self.answer_time / 4.0
+    }
+
+    /// Whether probes for this request bring more than they cost, both in worths of the usual request. Sent
+    /// blind, it meets a busy server as often as there are such, and is late the likelier for it the more of
+    /// its time its own work takes. Probes spare it that unless all of them find busy servers.
+    pub(super) fn worth_probing(&self, request: &Request) -> bool {
+        let busy = self.busy.max(SMOOTH);
+        let work = request.weight * if self.usual_cost > 0.0 { self.usual_cost } else { self.median };
+        let left = (request.until.saturating_sub(self.now)).as_secs_f64().max(1e-6);
+        let stake = request.value * if self.settings.worth_by_work { request.weight } else { 1.0 };
+        // Even where nearly all are busy, the less busy one is something.
+        let found = (1.0 - busy.powi(PROBES as i32)).max(SMOOTH);
+        stake * busy * (work / left).min(1.0) * found >= f64::from(PROBES) * self.settings.prices.probe
+    }
+
+    /// Probes a few of the servers at the cap, and holds the request meanwhile.
+    pub(super) fn probe(
+        &mut self,
+        id: RequestId,
+        mut targets: Vec<ServerId>,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        for _ in 0..PROBES {
+            let draw = (self.random() * targets.len() as f64) as usize;
+            let Some(target) = targets.get(draw).copied() else { break };
+            targets.retain(|t| *t != target);
+            self.servers.entry(target).and_modify(|s| s.probing = true);
+            self.probes_out += 1;
+            actions.push(Action::Probe { server: target });
+        }
+        if self.probes_out == 0 {
+            return false;
+        }
+        self.held.push(id);
+        // A server that answers a probe later than this is no place to send to.
+        let patience = Duration::from_secs_f64(self.answer_time / 16.0).max(4 * self.settings.tick);
+        actions.push(Action::SetTimer { after: patience, token: id.0 });
+        true
+    }
+
+    pub(super) fn on_probed(&mut self, end: ProbeEnd, actions: &mut Vec<Action>) {
+        self.servers.entry(end.server).and_modify(|s| (s.probing, s.load) = (false, None));
+        self.on_report(end.server, end.report, end.outcome == Outcome::Served);
+        if end.outcome == Outcome::ConnectFailed {
+            self.judge(end.server, 1.0, 1.0);
+        }
+        self.probes_out = self.probes_out.saturating_sub(1);
+        let last = self.probes_out == 0;
+        for id in self.held.clone() {
+            self.held.retain(|held| !last || *held != id);
+            self.dispatch(id, actions);
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -129,7 +129,6 @@
     /// a reserve for chance misses.
     pub(crate) in_time: Vec<f64>,
     pub(crate) taken: f64,
-    pub(crate) probe_tokens: f64,
     pub(crate) retry_tokens: f64,
     /// Attempts sent, work that arrived, and work answered by warm servers.
     pub(crate) sent: Rate,
@@ -166,7 +165,6 @@
             busy: Default::default(),
             in_time: Default::default(),
             taken: Default::default(),
-            probe_tokens: Default::default(),
             retry_tokens: Default::default(),
             sent: Default::default(),
             arrived: Default::default(),
