Count two busy servers as half a find when a probe's worth is weighed

Of two busy servers the less busy one is still the better place, so the probes are not worthless where most servers are busy. The weighing took them to be nearly so, and light requests went blind in an overload even where probes are cheap.

At fault: `found` in `worth_probing`, an eighth at least, 1 - busy^2 otherwise.

--- a/src/policy/probing.rs
+++ b/src/policy/probing.rs
@@ -25,14 +25,14 @@
 
     /// Whether probes for this request bring more than they cost, both in worths of the usual request. Sent
     /// blind, it meets a busy server as often as there are such, and is late the likelier for it the more of
-    /// its time its own work takes. Probes spare it that unless all of them find busy servers.
+    /// its time its own work takes. Probes spare it that, or half of it where all of them find busy servers.
     pub(super) fn worth_probing(&self, request: &Request) -> bool {
         let busy = self.busy.max(SMOOTH);
         let work = request.weight * if self.usual_cost > 0.0 { self.usual_cost } else { self.median };
         let left = (request.until.saturating_sub(self.now)).as_secs_f64().max(1e-6);
         let stake = request.value * if self.settings.worth_by_work { request.weight } else { 1.0 };
-        // Even where nearly all are busy, the less busy one is something.
-        let found = (1.0 - busy.powi(PROBES as i32)).max(SMOOTH);
+        // Where both are busy, the less busy one spares it half.
+        let found = 1.0 - busy.powi(PROBES as i32) / 2.0;
         stake * busy * (work / left).min(1.0) * found >= f64::from(PROBES) * self.settings.prices.probe
     }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -145,17 +145,17 @@
 
 #[test]
 fn dear_probes_are_spent_on_the_requests_with_most_at_stake() {
-    let probes_for = |price: f64| {
+    let probes_for = |price: f64, idle: &[u64]| {
         let mut settings = probing();
         (settings.nodes, settings.worth_by_work, settings.prices.probe) = (100, true, price);
         let mut world = World::with_servers(settings, 8);
         let (mut light, mut heavy) = (0, 0);
         for i in 0..120 {
-            let (work, count) = if i % 6 == 0 { (300, &mut heavy) } else { (40, &mut light) };
+            let (work, count) = if i % 6 == 0 { (300, &mut heavy) } else { (24, &mut light) };
             let (id, actions) = world.request_with(0, 0, ms(1000), Some(ms(work)));
             *count += probed(&actions);
-            // Half of the servers are busy, and whoever is sent to answers in time.
-            world.answer_probes(&[0, 2, 4, 6]);
+            // Whoever is sent to answers in time.
+            world.answer_probes(idle);
             world.pass(ms(work / 4));
             world.out().into_iter().for_each(|(id, i)| drop(world.end(id, i, Outcome::Served, None)));
             world.pass(ms(200));
@@ -163,11 +163,14 @@
         }
         (light, heavy)
     };
-    let (light, heavy) = probes_for(0.08);
+    let half = [0, 2, 4, 6];
+    let (light, heavy) = probes_for(0.08, &half);
     assert_eq!(light, 0, "a light request is as good as sure of its answer");
     assert!(heavy >= 30, "{heavy} probes for 20 heavy requests");
-    let (light, _) = probes_for(0.002);
-    assert!(light >= 100, "cheap probes are for all: {light} probes for 100 light requests");
+    for (idle, least) in [(&half[..], 100), (&[], 80)] {
+        let (light, _) = probes_for(0.002, idle);
+        assert!(light >= least, "cheap probes are for all: {light} probes for 100 light requests");
+    }
 }
 
 #[test]
