Learn the clients' backoff from repeats whose age shows, and refuse hopeless ones

A marked repeat whose try is cut short looks like a first try until little time is left, so the node took it to have waited for nothing. Where another class's tries last the whole deadline, what is left of a repeat tells when its first try was. The soonest such repeat is now a floor for those that do not tell: if that is past the aim, they are refused at once.

Ruled out: knowing a repeat again at its node. 91 of 9,591 came to the node of the try before.

At fault: `spent`, which answered zero for whatever is left like a first try.

The new test fails without the change: the repeat is sent.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -457,14 +457,24 @@
         self.dispatch(new.id, actions);
     }
 
-    /// What a client has waited already, as far as it shows: a marked repeat whose time is not that of a
-    /// first try waits for the rest of its deadline. Work for one past its aim only feeds a jam.
+    /// What a client has waited already, as far as it shows. Where a try may last the whole deadline, what is
+    /// left of it tells. A try that is cut shorter tells only once the rest is shorter still; until then a
+    /// marked repeat has waited at least as long as the soonest that did tell. Work for one past its aim only
+    /// feeds a jam.
     fn spent(&mut self, new: &NewRequest, class: usize) -> Duration {
         let deadline = self.settings.classes[class].deadline;
         let first_try = if new.client_retry { self.patience[class] } else { new.remaining };
         self.patience[class] = first_try;
+        let waited = deadline.saturating_sub(new.remaining);
+        if new.client_retry && first_try + deadline / 64 >= deadline {
+            self.backoff = Some(self.backoff.map_or(waited, |soonest| soonest.min(waited)));
+        }
         let like_first = new.remaining.abs_diff(first_try) < first_try / 64;
-        if like_first { Duration::ZERO } else { deadline.saturating_sub(new.remaining) }
+        match self.backoff {
+            _ if !like_first => waited,
+            Some(soonest) if new.client_retry => soonest.min(waited),
+            _ => Duration::ZERO,
+        }
     }
 
     fn weigh(&mut self, cost: Option<Duration>) -> f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -138,6 +138,8 @@
     pub(crate) allowances: Vec<Allowance>,
     /// How long clients wait for a first try, by class.
     pub(crate) patience: Vec<Duration>,
+    /// The soonest that a client's repeat has come after its first try, where that shows.
+    pub(crate) backoff: Option<Duration>,
     /// Where the list must be asked for: when to ask next, and the wait after a failed call.
     pub(crate) ask_at: Option<Duration>,
     pub(crate) ask_wait: Duration,
@@ -170,6 +172,7 @@
             arrived: Default::default(),
             carried: Default::default(),
             allowances: vec![Allowance::default(); settings.tenants.len()],
+            backoff: None,
             patience: vec![Duration::ZERO; settings.classes.len()],
             ask_at: Default::default(),
             ask_wait: Default::default(),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -604,6 +604,30 @@
     );
 }
 
+#[test]
+fn repeats_that_show_how_late_they_come_tell_of_those_that_do_not() {
+    // The danger: where clients wait before they ask again, every repeat comes too late, but one whose try is
+    // cut short looks like a first try, and each quiet node serves a few of them for nothing.
+    let mut world = World::with_servers(answering(), 6);
+    let (cut, whole) = (0, 4);
+    let mut next = 1_000_000;
+    let mut take = |world: &mut World, class: usize, left: u64, client_retry: bool| {
+        next += 1;
+        let new = NewRequest { id: RequestId(next), class, remaining: ms(left), ..Default::default() };
+        let actions = world.take(NewRequest { client_retry, ..new });
+        world.pass(ms(20));
+        world.out().into_iter().for_each(|(id, i)| drop(world.end(id, i, Outcome::Served, Some(0.0))));
+        sent_to(&actions).len()
+    };
+    assert_eq!(take(&mut world, cut, 450, false), 1, "its clients wait for 450 of the 1000 ms a try");
+    assert_eq!(take(&mut world, whole, 1000, false), 1, "theirs wait to the end");
+    assert_eq!(take(&mut world, whole, 590, true), 0, "410 ms have gone by, the aim is 400");
+    assert_eq!(take(&mut world, cut, 450, true), 0, "it has waited as long as that at least");
+    assert_eq!(take(&mut world, cut, 450, false), 1, "a first try has not");
+    assert_eq!(take(&mut world, whole, 990, true), 1, "10 ms have gone by");
+    assert_eq!(take(&mut world, cut, 450, true), 1, "nor need it have waited for longer");
+}
+
 #[test]
 fn trials_of_ejected_servers_take_a_small_part_of_the_requests() {
     // The danger: a quiet node with several dead servers sends most of its requests there on trial.
