Give a lone attempt up only when a further one has just its time

Where the site lets one attempt be out at a time, an attempt was given up after four times the median answer. Its server mostly goes on working on it, so each one given up is a whole request's work lost.

Lines at fault: the time-out in Balancer::send, src/policy.rs.

Now it is given up at the last moment that leaves a further attempt the time in which nearly all are answered, and, for a keyed request, that is still in the window. Hedging, where two may be out, is as before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -267,6 +267,18 @@
             .max(2 * self.settings.tick)
     }
 
+    /// How long a request may still be sent again, once it may have run; less what a timer may come late.
+    fn repeatable_for(&self, request: &Request) -> Duration {
+        let first = request.attempts.iter().find(|a| a.may_have_run()).map_or(self.now, |a| a.sent);
+        match self.settings.classes[request.class].repeat {
+            Repeat::Safe => Duration::MAX,
+            Repeat::Unsafe => Duration::ZERO,
+            Repeat::Keyed { window, .. } => {
+                (first + window).saturating_sub(self.now + 2 * self.settings.tick)
+            }
+        }
+    }
+
     /// The only place that sends. Every rule is checked here, whatever led to it.
     fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
         let now = self.now;
@@ -279,11 +291,14 @@
         }
         // Time is kept for one more attempt where there may be one: the server may stay silent.
         let (left, patience) = (request.until - now, self.patience_with(request));
-        let more = self.settings.classes[request.class].repeat != Repeat::Unsafe
+        let repeatable = self.repeatable_for(request);
+        let more = repeatable > patience
             && left > patience * 5 / 4
             && self.retry_tokens >= if again { 2.0 } else { 1.0 };
         let hedged = self.settings.limits.parallel_attempts;
-        let timeout = if more && !hedged { patience } else { left };
+        // Where only one may be out, the first is given up for the next. Its server mostly goes on working on
+        // it, so that is not done before the next one has just its time.
+        let timeout = if more && !hedged { patience.max(left - patience).min(repeatable) } else { left };
         if more && hedged {
             actions.push(Action::SetTimer { after: patience, token: id.0 });
         }
