Read lists that come indented over several lines on a watch

Seen in review: Discovery::lines cut what a watch says at every line's end and parsed each piece, so an indented list was dropped piece by piece as malformed: the node would keep an old list and go on sending to servers that drain.

The cutting is a module of its own now, lists.rs: it counts brackets line by line outside strings, each byte once. A list cut short ends at the next empty line, or where a whole list follows on one line, and takes none along.

--- a/src/bin/sillward/discovery.rs
+++ b/src/bin/sillward/discovery.rs
@@ -1,9 +1,10 @@
 //! Discovery: the list of backends, the watch that keeps it fresh, and the backends' numbers.
 
 use crate::config::Config;
+use crate::lists::{LONGEST, Lists, TooLong};
 use crate::log::log;
 use crate::node::Message;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hillpick::settings::{Site, millis};
 use hillpick::{ListKind, ServerEntry, ServerId, ServerState};
 use http_body_util::{BodyExt, Empty, Limited};
@@ -28,8 +29,6 @@
 const LIST: &str = "/registry/instances";
 /// A watch says something every 2 s; one that is silent for so long is broken, whatever TCP says.
 const SILENCE: Duration = Duration::from_secs(5);
-/// The longest list or line that is taken in.
-const LINE_LIMIT: usize = 4 << 20;
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 /// A node that knows backends from before is ready at the latest when its first call has taken so long.
@@ -221,7 +220,7 @@
 
     async fn fetch(&mut self) -> Result<(), String> {
         let (response, _connection) = self.get(LIST).await?;
-        let body = timeout(SILENCE, Limited::new(response.into_body(), LINE_LIMIT).collect()).await;
+        let body = timeout(SILENCE, Limited::new(response.into_body(), LONGEST).collect()).await;
         let body = body.map_err(|_| "silent")?.map_err(|e| e.to_string())?;
         self.take(&body.to_bytes(), Some(ListKind::Full)).await;
         Ok(())
@@ -238,21 +237,12 @@
     async fn lines(&mut self) -> Result<(), String> {
         let (response, _connection) = self.get(&format!("{LIST}?stream=1&index={}", self.index)).await?;
         let mut body = response.into_body();
-        let mut unread = BytesMut::new();
+        let mut lists = Lists::default();
         while let Some(frame) = timeout(SILENCE, body.frame()).await.map_err(|_| "silent")? {
             let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() else { continue };
-            // Only what is new can hold the end of a line.
-            let mut searched = unread.len();
-            unread.extend_from_slice(&data);
-            while let Some(end) = unread[searched..].iter().position(|byte| *byte == b'\n') {
-                let line = unread.split_to(searched + end + 1);
-                searched = 0;
-                if !line.trim_ascii().is_empty() {
-                    self.take(&line, None).await;
-                }
-            }
-            if unread.len() > LINE_LIMIT {
-                return Err("a line without end".to_owned());
+            lists.push(&data);
+            while let Some(list) = lists.next().map_err(|TooLong| "a list without end")? {
+                self.take(&list, None).await;
             }
         }
         Ok(())
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod discovery;
 mod front;
+mod lists;
 mod log;
 mod memory;
 mod node;
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -367,6 +367,23 @@
     drop(watch);
 }
 
+#[test]
+fn lists_may_come_indented() {
+    let (old, new) = (Backend::start(|_| ok("old")), Backend::start(|_| ok("new")));
+    let (node, mut watch, _discovery) = serving(&settings(LONG, ""), &[&old]);
+    assert_eq!(node.client().read().body, b"old");
+    let entries = [entry("s-0", old.address, "terminating"), entry("s-1", new.address, "in_service")];
+    // Each line in a piece of its own: nothing but the list itself tells where it ends.
+    let entries = entries.map(|entry| entry.replace(',', ",\n      ")).join(",\n    ");
+    let head = "{\n  \"index\": 9,\n  \"snapshot\": false,\n  \"endpoints\": [";
+    for line in format!("{head}\n    {entries}\n  ]\n}}").lines() {
+        watch.line(line);
+    }
+    watch.line("");
+    old.closed();
+    assert_eq!(node.client().read().body, b"new");
+}
+
 #[test]
 fn malformed_lists_and_reports_are_dropped_alone() {
     let backend = Backend::start(|_| Reply::Answer("200 OK", "X-Load-Report: inflight=many\r\n", vec![]));
