Ask for a broken watch anew within half a second on every site

Seen in review: after a failed call the module waited a sixteenth of MustAskIn, and its clock ticked every 64th of it (on_list and on_tick, src/policy.rs). With 10 s that is 0.3 to 0.8 s; with 60 s, 2 to 4.7 s. A silent watch shows as broken up to 5 s after it fell silent, and what it missed counts as told 6 s after that, so on a site with a long MustAskIn a node would go on sending to servers that drain.

The first wait is now half a second at most, jittered as before; the doubling from there stays.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,6 +25,8 @@
 /// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind.
 const COLD_SPEND: f64 = 0.4;
 const HEAVY: f64 = 2.0; // nothing of more than so many times the usual work goes to a cold server
+/// What a silent watch misses counts as told 6 s after it fell silent; that it has broken shows late in these.
+const REOPEN: Duration = Duration::from_millis(500);
 /// Crowding beyond this many requests is treated alike, and no more servers than this are compared.
 const LEVELS: usize = 64;
 
@@ -526,7 +528,7 @@
     fn on_list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
         if kind == ListKind::Failed {
             let within = self.settings.rules.ask_within;
-            self.ask_wait = (2 * self.ask_wait).clamp(within / 16, within / 2);
+            self.ask_wait = (2 * self.ask_wait).clamp(REOPEN.min(within / 16), within / 2);
             self.ask_at = Some(self.now + self.ask_wait.mul_f64(0.5 + self.random() / 2.0));
             return;
         }
@@ -572,6 +574,7 @@
             actions.push(Action::Subscribe { on: true });
             self.ask_at = Some(self.now + self.settings.rules.ask_within / 2);
         }
-        actions.push(Action::SetTimer { after: self.settings.rules.ask_within / 64, token: TICK });
+        let after = (self.settings.rules.ask_within / 64).min(REOPEN / 2);
+        actions.push(Action::SetTimer { after, token: TICK });
     }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -459,6 +459,29 @@
     assert_eq!(asks(&world.log[before..]), 0, "a subscription needs no calls");
 }
 
+/// By the time that a watch shows as silent, little is left until what it misses counts as told.
+#[test]
+fn a_broken_watch_is_opened_anew_soon_however_long_the_site_lets_a_node_go_without() {
+    for within in [5_000, 20_000, 120_000] {
+        let mut settings = Settings { list_on_request: true, ..answering() };
+        settings.rules.ask_within = ms(within);
+        for seed in 0..10 {
+            let mut world = World::seeded(settings.clone(), seed);
+            world.list(ListKind::Cached, vec![entry(0)]);
+            world.pass(ms(within / 2));
+            world.list(ListKind::Full, vec![entry(0)]);
+            let asked = |world: &World| {
+                world.log.iter().filter(|a| matches!(a, Action::Subscribe { on: true })).count()
+            };
+            let before = asked(&world);
+            world.list(ListKind::Failed, vec![]);
+            assert_eq!(asked(&world), before, "not all nodes at the same moment");
+            world.pass(ms(800));
+            assert_eq!(asked(&world), before + 1, "within {within} ms, seed {seed}");
+        }
+    }
+}
+
 #[test]
 fn a_tenant_beyond_its_share_is_refused_first() {
     let mut settings = answering();
