Call discovery again within the drain grace, and take a watch for broken sooner

Seen in review of Discovery::follow: where lists are pushed, the pause between calls grew to 2 s, and a call that hung in its connect was waited for 5 s. What discovery has to tell at its return counts as told at once, so a node in such a pause would send to draining servers past a grace of 0.3 to 0.5 s. The pause is a quarter of the grace at most now (50 ms to 1 s), jittered as before, and a connection is waited for twice that long.

A watch is broken after 4.5 s of silence, not 5: two of its words are missed by then, and 1.5 s are left until what it misses counts as told.

--- a/src/bin/sillward/discovery.rs
+++ b/src/bin/sillward/discovery.rs
@@ -27,10 +27,12 @@
 use tokio::time::{Instant, sleep, timeout};
 
 const LIST: &str = "/registry/instances";
-/// A watch says something every 2 s; one that is silent for so long is broken, whatever TCP says.
-const SILENCE: Duration = Duration::from_secs(5);
+/// A watch says something every 2 s; one that is silent for so long is broken, whatever TCP says. What it misses
+/// counts as told 6 s after it fell silent: by then it is to be open anew.
+const SILENCE: Duration = Duration::from_millis(4500);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// Where nothing is to be kept sooner: between calls, and for a connection to come up.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 /// A node that knows backends from before is ready at the latest when its first call has taken so long.
 const READY_AFTER: Duration = Duration::from_secs(1);
 
@@ -152,7 +154,7 @@
                 }
             };
             let lasted = opened.elapsed() > LONGEST_PAUSE;
-            pause = if lasted { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
+            pause = if lasted { FIRST_PAUSE } else { (pause * 2).min(self.longest_pause()) };
             log(format_args!("the watch broke: {broken}"));
             let jittered = self.jittered(pause);
             tokio::select! {
@@ -213,6 +215,12 @@
         (self.address, self.index) = (address, 0);
     }
 
+    /// Once discovery is back, what it has to tell of drains counts as told at once: a node that has stopped
+    /// asking for longer than the grace, or waits for a connection that never comes up, learns it too late.
+    fn longest_pause(&self) -> Duration {
+        (self.site.settings.rules.drain_grace / 4).clamp(FIRST_PAUSE, LONGEST_PAUSE)
+    }
+
     /// Between half and all of it, so that nodes whose watches broke together do not call together.
     fn jittered(&mut self, pause: Duration) -> Duration {
         pause.mul_f64(0.5 + f64::from(self.random.next_u32()) / 2f64.powi(33))
@@ -250,7 +258,8 @@
 
     async fn get(&self, path: &str) -> Result<(Response<Incoming>, Connection), String> {
         let call = async {
-            let stream = TcpStream::connect(self.address).await.map_err(|e| e.to_string())?;
+            let stream = timeout(2 * self.longest_pause(), TcpStream::connect(self.address)).await;
+            let stream = stream.map_err(|_| "cannot be reached")?.map_err(|e| e.to_string())?;
             let (mut sender, connection) =
                 http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
             let connection = Connection(spawn_local(async move {
