Ask for a list with none to start from, and let older changes take nothing back

Seen in review of Discovery::run and take: without a known list, or with one that can't be read, the module was told nothing, so where lists must be asked for it never set its clock, never asked, and the node never became ready. It is told of an empty cached list now.

Changes of a version older than the list that the node has were taken in, and the version was set back: a server known to drain would have been sent to again. Such changes are dropped, with a line in the log; a whole list is taken in whatever its version, since a discovery that was restarted or has moved counts anew.

Both fail their tests on the version before: readiness never comes, and the drained server is sent to (ordered by a later change that is seen to have been taken in).

--- a/src/bin/sillward/discovery.rs
+++ b/src/bin/sillward/discovery.rs
@@ -57,8 +57,7 @@
 
 #[derive(Deserialize)]
 struct List {
-    #[serde(default)]
-    index: u64,
+    index: Option<u64>,
     #[serde(default)]
     snapshot: bool,
     endpoints: Vec<Value>,
@@ -124,14 +123,17 @@
 
     /// Keeps the list fresh, from `moved`'s address whenever that changes.
     pub async fn run(mut self, orders: mpsc::Receiver<Order>, moved: watch::Receiver<SocketAddr>) {
-        if let Some(known) = self.known.take() {
-            self.take(known.as_bytes(), Some(ListKind::Cached)).await;
+        let known = self.known.take().unwrap_or_default();
+        if self.take(known.as_bytes(), Some(ListKind::Cached)).await {
             // It may be old: the first call may still bring a newer one before clients come.
             let (ready, some) = (self.ready.clone(), self.index > 0);
             spawn_local(async move {
                 sleep(READY_AFTER).await;
                 ready.set(ready.get() || some);
             });
+        } else {
+            // The module is to know that it has started, or it would never ask for a list.
+            self.tell(ListKind::Cached, Vec::new()).await;
         }
         if self.site.settings.list_on_request {
             self.obey(orders, moved).await;
@@ -276,12 +278,27 @@
         timeout(SILENCE, call).await.map_err(|_| "silent")?
     }
 
-    /// Takes in a list. What is malformed is dropped, a line of it alone where the rest can be read.
-    async fn take(&mut self, text: &[u8], kind: Option<ListKind>) {
-        let list: List = match serde_json::from_slice(text) {
+    /// Takes in a list; false if there is none. What is malformed is dropped, a line of it alone where the rest
+    /// can be read.
+    async fn take(&mut self, text: &[u8], kind: Option<ListKind>) -> bool {
+        if text.is_empty() {
+            return false;
+        }
+        let mut list: List = match serde_json::from_slice(text) {
             Ok(list) => list,
-            Err(e) => return log(format_args!("a malformed list was dropped: {e}")),
+            Err(e) => {
+                log(format_args!("a malformed list was dropped: {e}"));
+                return false;
+            }
         };
+        let listed = if list.snapshot { ListKind::Full } else { ListKind::Changes };
+        let kind = kind.unwrap_or(listed);
+        let index = list.index.unwrap_or(self.index);
+        if kind == ListKind::Changes && index < self.index {
+            // They would take back what is known since, such as that a server drains.
+            log(format_args!("changes of version {index} were dropped: the list is at {}", self.index));
+            list.endpoints.clear();
+        }
         let mut backends = Vec::new();
         for line in list.endpoints {
             match serde_json::from_value(line).map_err(|e| e.to_string()).and_then(|line| self.read(line)) {
@@ -289,12 +306,11 @@
                 Err(e) => log(format_args!("a malformed line of the list was dropped: {e}")),
             }
         }
-        let listed = if list.snapshot { ListKind::Full } else { ListKind::Changes };
-        let kind = kind.unwrap_or(listed);
         self.tell(kind, backends).await;
         // Only now: a watch that is dropped before has not told the node, and must be told again.
-        self.index = list.index;
+        self.index = if kind == ListKind::Changes { index.max(self.index) } else { index };
         self.ready.set(self.ready.get() || kind != ListKind::Cached || self.site.settings.list_on_request);
+        true
     }
 
     fn read(&self, line: Line) -> Result<Backend, String> {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -26,6 +26,12 @@
 
 const LONG: u64 = 20_000;
 
+/// Settings of a site where the list must be asked for.
+fn asking() -> String {
+    let asked = settings(LONG, "").replacen('{', r#"{"RegistryMode":"ask","#, 1);
+    asked.replace(r#""DrainGrace":2000"#, r#""DrainGrace":2000,"MustAskIn":1000"#)
+}
+
 // ---- Outcomes -----------------------------------------------------------------------------------
 
 #[test]
@@ -402,10 +408,8 @@
 #[test]
 fn where_the_list_must_be_asked_for_it_is_asked_for() {
     let backend = Backend::start(|_| ok(""));
-    let asked = settings(LONG, "").replacen('{', r#"{"RegistryMode":"ask","#, 1);
-    let asked = asked.replace(r#""DrainGrace":2000"#, r#""DrainGrace":2000,"MustAskIn":1000"#);
     let discovery = Discovery::start();
-    let node = Node::start(&config(discovery.address, &asked, 1024), "");
+    let node = Node::start(&config(discovery.address, &asking(), 1024), "");
     discovery.call().write("HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n");
     let mut watch = discovery.call();
     watch.open();
@@ -413,6 +417,55 @@
     assert_eq!(node.client().read().status(), 200);
 }
 
+/// A node that has never had a list asks for one all the same.
+#[test]
+fn a_node_with_no_list_to_start_from_asks_for_one() {
+    let backend = Backend::start(|_| ok(""));
+    for known in ["", r#""known":{"index":7},"#] {
+        let discovery = Discovery::start();
+        let config = config(discovery.address, &asking(), 1024);
+        let config = config.replace(r#""known":{"index":7,"snapshot":true,"endpoints":[]},"#, known);
+        let node = Node::start(&config, "");
+        let mut watch = discovery.call();
+        assert!(!node.is_ready(), "it knows no backend");
+        watch.open();
+        watch.line(&list(8, true, &[entry("s-0", backend.address, "in_service")]));
+        until(|| node.is_ready(), "readiness");
+        assert_eq!(node.client().read().status(), 200);
+    }
+}
+
+/// Where lists are pushed, what discovery has to tell when it is back counts at once, and the grace begins.
+#[test]
+fn while_discovery_is_down_a_node_calls_again_well_within_the_grace() {
+    let backend = Backend::start(|_| ok(""));
+    let settings = settings(LONG, "").replace("\"DrainGrace\":2000", "\"DrainGrace\":400");
+    let (_node, watch, discovery) = serving(&settings, &[&backend]);
+    let down = Instant::now();
+    drop(watch);
+    for _ in 0..60 {
+        discovery.call().write("HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n");
+    }
+    // Calls half the grace apart would take 12 s, and those of a node that backs off to 2 s over a minute.
+    assert!(down.elapsed() < Duration::from_secs(40), "{:?}", down.elapsed());
+}
+
+#[test]
+fn changes_older_than_the_list_take_nothing_back() {
+    let [drained, kept, new] = ["drained", "kept", "new"].map(|name| Backend::start(move |_| ok(name)));
+    let (node, mut watch, _discovery) = serving(&settings(LONG, ""), &[&drained, &kept]);
+    watch.line(&list(12, false, &[entry("s-0", drained.address, "terminating")]));
+    watch.line(&list(11, false, &[entry("s-0", drained.address, "in_service")]));
+    // What comes in its turn is taken in: once it shows, all before it has been.
+    watch.line(&list(13, false, &[entry("s-2", new.address, "in_service")]));
+    watch.line(&list(14, false, &[entry("s-1", kept.address, "terminating")]));
+    let mut client = node.client();
+    until(|| client.read().body == b"new", "the last list");
+    let before = drained.count();
+    (0..20).for_each(|_| assert_eq!(client.read().body, b"new"));
+    assert_eq!(drained.count(), before);
+}
+
 // ---- New configurations -------------------------------------------------------------------------
 
 #[test]
@@ -461,16 +514,14 @@
 #[test]
 fn where_the_list_must_be_asked_for_it_is_asked_for_at_the_new_address() {
     let (old, new) = (Backend::start(|_| ok("old")), Backend::start(|_| ok("new")));
-    let asked = settings(LONG, "").replacen('{', r#"{"RegistryMode":"ask","#, 1);
-    let asked = asked.replace(r#""DrainGrace":2000"#, r#""DrainGrace":2000,"MustAskIn":1000"#);
     let discovery = Discovery::start();
-    let node = Node::start(&config(discovery.address, &asked, 1024), "");
+    let node = Node::start(&config(discovery.address, &asking(), 1024), "");
     let mut watch = discovery.call();
     watch.open();
     watch.line(&list(8, true, &[entry("s-0", old.address, "in_service")]));
     assert_eq!(node.client().read().body, b"old");
     let elsewhere = Discovery::start();
-    node.reload(&config(elsewhere.address, &asked, 1024));
+    node.reload(&config(elsewhere.address, &asking(), 1024));
     let mut next = elsewhere.call();
     assert!(next.start.contains("index=0 "), "{}", next.start);
     next.open();
