Rest a connection after an answer, and write only to what a backend still is

Two crossings in the pool, found in review.

A second answer some milliseconds behind the first: if the connection carries the next request by then, the copy is taken for that one's answer and a client gets what no server made for it. A connection now rests 10 ms after an answer; who waits meanwhile gets it then, or its dial. Lines at fault: Pool::put and take, which gave it out at once.

An attempt that waits for a connection while its server is told to drain, to be gone, or to have been started again: it was written up to the whole drain grace later, or to a server that is cold now, without the ticket that cold servers want; and it was held to a dial to the old address until that failed, which was then held against the server. A place in the pool now begins another epoch at such news: whoever waits is told NotSent at once, dials under way count no more, and nothing is written to what isn't ready. Epochs are never used twice. The pool's own keeping of the grace goes with that.

Not resting after probes alone would save most of it, but nothing promises that only requests' answers are doubled.

Node tests that look at reuse now let a connection rest.

--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -77,7 +77,8 @@
     let (orders, discovery_orders) = mpsc::channel(16);
     let (moves, moved) = watch::channel(config.discovery);
     let budget = memory::Budget::new(config.body_bytes);
-    let backends = backend::Backends::new(clock, &config, budget.clone(), pool::Pool::start(clock, &config));
+    let pool = pool::Pool::start(clock, &config, pool::REST);
+    let backends = backend::Backends::new(clock, &config, budget.clone(), pool);
     let discovery = discovery::Discovery::new(&config, messages.clone());
     let ready = discovery.ready();
     let node = node::Node::new(clock, &config, backends, messages.clone(), orders);
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -189,7 +189,7 @@
                 self.decide(Event::Probed(ProbeEnd { server, outcome, elapsed, report }));
             }
             Message::List(news) => {
-                self.backends.pool.update(news.kind, &news.backends, self.clock.now());
+                self.backends.pool.update(news.kind, &news.backends);
                 let entries = news.backends.into_iter().map(|backend| backend.entry).collect();
                 self.decide(Event::List { kind: news.kind, entries });
             }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -26,6 +26,11 @@
 
 const LONG: u64 = 20_000;
 
+/// Lets some time pass, more than a connection rests after an answer.
+fn rested() {
+    std::thread::sleep(Duration::from_millis(30));
+}
+
 /// Settings of a site where the list must be asked for.
 fn asking() -> String {
     let asked = settings(LONG, "").replacen('{', r#"{"RegistryMode":"ask","#, 1);
@@ -212,6 +217,7 @@
     for _ in 0..5 {
         assert_eq!(client.read().status(), 200);
         assert_eq!(backend.request().0, 0);
+        rested();
     }
     assert_eq!(backend.closed(), 0);
     assert_eq!(client.read().status(), 200);
@@ -234,6 +240,7 @@
     for _ in 0..40 {
         assert_eq!(clients[0].read().status(), 200);
         assert_eq!(backend.request().0, 0);
+        rested();
     }
     clients.iter_mut().for_each(Client::send_correct);
     assert_eq!([backend.request().0, backend.request().0], [0, 1]);
@@ -257,6 +264,7 @@
         for connection in 0..10 {
             assert_eq!(client.correct().body, b"good");
             assert_eq!(backend.request().0, connection);
+            rested();
         }
     }
 }
@@ -291,6 +299,7 @@
         assert_eq!(node.client().correct().status(), 200);
         assert_eq!(backend.closed(), connection);
         // Its end is on its way to the node before the next request is.
+        rested();
     }
 }
 
