--- a/src/bin/sillward/discovery.rs
+++ b/src/bin/sillward/discovery.rs
@@ -1,9 +1,10 @@
 //! Discovery: the list of backends, the watch that keeps it fresh, and the backends' numbers.
 
 use crate::config::Config;
+use crate::lists::{LONGEST, Lists, TooLong};
 use crate::log::log;
 use crate::node::Message;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hillpick::settings::{Site, millis};
 use hillpick::{ListKind, ServerEntry, ServerId, ServerState};
 use http_body_util::{BodyExt, Empty, Limited};
@@ -26,12 +27,12 @@
 use tokio::time::{Instant, sleep, timeout};
 
 const LIST: &str = "/registry/instances";
-/// A watch says something every 2 s; one that is silent for so long is broken, whatever TCP says.
-const SILENCE: Duration = Duration::from_secs(5);
-/// The longest list or line that is taken in.
-const LINE_LIMIT: usize = 4 << 20;
+/// A watch says something every 2 s; one that is silent for so long is broken, whatever TCP says. What it misses
+/// counts as told 6 s after it fell silent: by then it is to be open anew.
+const SILENCE: Duration = Duration::from_millis(4500);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// Where nothing is to be kept sooner: between calls, and for a connection to come up.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 /// A node that knows backends from before is ready at the latest when its first call has taken so long.
 const READY_AFTER: Duration = Duration::from_secs(1);
 
@@ -56,8 +57,7 @@
 
 #[derive(Deserialize)]
 struct List {
-    #[serde(default)]
-    index: u64,
+    index: Option<u64>,
     #[serde(default)]
     snapshot: bool,
     endpoints: Vec<Value>,
@@ -123,14 +123,17 @@
 
     /// Keeps the list fresh, from `moved`'s address whenever that changes.
     pub async fn run(mut self, orders: mpsc::Receiver<Order>, moved: watch::Receiver<SocketAddr>) {
-        if let Some(known) = self.known.take() {
-            self.take(known.as_bytes(), Some(ListKind::Cached)).await;
+        let known = self.known.take().unwrap_or_default();
+        if self.take(known.as_bytes(), Some(ListKind::Cached)).await {
             // It may be old: the first call may still bring a newer one before clients come.
             let (ready, some) = (self.ready.clone(), self.index > 0);
             spawn_local(async move {
                 sleep(READY_AFTER).await;
                 ready.set(ready.get() || some);
             });
+        } else {
+            // The module is to know that it has started, or it would never ask for a list.
+            self.tell(ListKind::Cached, Vec::new()).await;
         }
         if self.site.settings.list_on_request {
             self.obey(orders, moved).await;
@@ -153,7 +156,7 @@
                 }
             };
             let lasted = opened.elapsed() > LONGEST_PAUSE;
-            pause = if lasted { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
+            pause = if lasted { FIRST_PAUSE } else { (pause * 2).min(self.longest_pause()) };
             log(format_args!("the watch broke: {broken}"));
             let jittered = self.jittered(pause);
             tokio::select! {
@@ -214,6 +217,12 @@
         (self.address, self.index) = (address, 0);
     }
 
+    /// Once discovery is back, what it has to tell of drains counts as told at once: a node that has stopped
+    /// asking for longer than the grace, or waits for a connection that never comes up, learns it too late.
+    fn longest_pause(&self) -> Duration {
+        (self.site.settings.rules.drain_grace / 4).clamp(FIRST_PAUSE, LONGEST_PAUSE)
+    }
+
     /// Between half and all of it, so that nodes whose watches broke together do not call together.
     fn jittered(&mut self, pause: Duration) -> Duration {
         pause.mul_f64(0.5 + f64::from(self.random.next_u32()) / 2f64.powi(33))
@@ -221,7 +230,7 @@
 
     async fn fetch(&mut self) -> Result<(), String> {
         let (response, _connection) = self.get(LIST).await?;
-        let body = timeout(SILENCE, Limited::new(response.into_body(), LINE_LIMIT).collect()).await;
+        let body = timeout(SILENCE, Limited::new(response.into_body(), LONGEST).collect()).await;
         let body = body.map_err(|_| "silent")?.map_err(|e| e.to_string())?;
         self.take(&body.to_bytes(), Some(ListKind::Full)).await;
         Ok(())
@@ -238,21 +247,12 @@
     async fn lines(&mut self) -> Result<(), String> {
         let (response, _connection) = self.get(&format!("{LIST}?stream=1&index={}", self.index)).await?;
         let mut body = response.into_body();
-        let mut unread = BytesMut::new();
+        let mut lists = Lists::default();
         while let Some(frame) = timeout(SILENCE, body.frame()).await.map_err(|_| "silent")? {
             let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() else { continue };
-            // Only what is new can hold the end of a line.
-            let mut searched = unread.len();
-            unread.extend_from_slice(&data);
-            while let Some(end) = unread[searched..].iter().position(|byte| *byte == b'\n') {
-                let line = unread.split_to(searched + end + 1);
-                searched = 0;
-                if !line.trim_ascii().is_empty() {
-                    self.take(&line, None).await;
-                }
-            }
-            if unread.len() > LINE_LIMIT {
-                return Err("a line without end".to_owned());
+            lists.push(&data);
+            while let Some(list) = lists.next().map_err(|TooLong| "a list without end")? {
+                self.take(&list, None).await;
             }
         }
         Ok(())
@@ -260,7 +260,8 @@
 
     async fn get(&self, path: &str) -> Result<(Response<Incoming>, Connection), String> {
         let call = async {
-            let stream = TcpStream::connect(self.address).await.map_err(|e| e.to_string())?;
+            let stream = timeout(2 * self.longest_pause(), TcpStream::connect(self.address)).await;
+            let stream = stream.map_err(|_| "cannot be reached")?.map_err(|e| e.to_string())?;
             let (mut sender, connection) =
                 http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
             let connection = Connection(spawn_local(async move {
@@ -277,12 +278,27 @@
         timeout(SILENCE, call).await.map_err(|_| "silent")?
     }
 
-    /// Takes in a list. What is malformed is dropped, a line of it alone where the rest can be read.
-    async fn take(&mut self, text: &[u8], kind: Option<ListKind>) {
-        let list: List = match serde_json::from_slice(text) {
+    /// Takes in a list; false if there is none. What is malformed is dropped, a line of it alone where the rest
+    /// can be read.
+    async fn take(&mut self, text: &[u8], kind: Option<ListKind>) -> bool {
+        if text.is_empty() {
+            return false;
+        }
+        let mut list: List = match serde_json::from_slice(text) {
             Ok(list) => list,
-            Err(e) => return log(format_args!("a malformed list was dropped: {e}")),
+            Err(e) => {
+                log(format_args!("a malformed list was dropped: {e}"));
+                return false;
+            }
         };
+        let listed = if list.snapshot { ListKind::Full } else { ListKind::Changes };
+        let kind = kind.unwrap_or(listed);
+        let index = list.index.unwrap_or(self.index);
+        if kind == ListKind::Changes && index < self.index {
+            // They would take back what is known since, such as that a server drains.
+            log(format_args!("changes of version {index} were dropped: the list is at {}", self.index));
+            list.endpoints.clear();
+        }
         let mut backends = Vec::new();
         for line in list.endpoints {
             match serde_json::from_value(line).map_err(|e| e.to_string()).and_then(|line| self.read(line)) {
@@ -290,12 +306,11 @@
                 Err(e) => log(format_args!("a malformed line of the list was dropped: {e}")),
             }
         }
-        let listed = if list.snapshot { ListKind::Full } else { ListKind::Changes };
-        let kind = kind.unwrap_or(listed);
         self.tell(kind, backends).await;
         // Only now: a watch that is dropped before has not told the node, and must be told again.
-        self.index = list.index;
+        self.index = if kind == ListKind::Changes { index.max(self.index) } else { index };
         self.ready.set(self.ready.get() || kind != ListKind::Cached || self.site.settings.list_on_request);
+        true
     }
 
     fn read(&self, line: Line) -> Result<Backend, String> {
