See that a client has left also when more waits behind its open request

hyper looks for a client's end while its request is open only as long as nothing waits behind that request (mid_message_detect_eof returns at once if its read buffer holds a byte). A client that sends several requests, or a stray byte, and leaves was not noticed: its request stayed in the queue, was sent on and tried again until its time was up, and so was each behind it in turn.

Now the socket reads on ahead of hyper, as far as one chunk, while a request is open, and the connection ends when the end of the stream comes; beyond that room the kernel's word that the peer has closed decides, looked at every 0.1 s. What was read on ahead is hyper's next read, and makes a connection not quiet. The chunk is counted in what a connection may take. Ending the connection drops the future that serves it, which tells the node, which frees the request's place, slots, probes and memory, as for any other client that leaves.

Ruled out: acting on the half of a stream only where bytes wait (hyper already takes a half-closed stream for a client that has left); polling alone, which leaves up to 0.1 s in which the request is sent.

--- a/src/bin/sillward/config.rs
+++ b/src/bin/sillward/config.rs
@@ -11,8 +11,8 @@
 const SPARE_SOCKETS: usize = 48;
 /// What the program takes by itself, its code, tables and queues: several times what is measured.
 const OWN_BYTES: usize = 8 << 20;
-/// What a connection may take: hyper's buffers either way, and its tasks.
-const CONNECTION_BYTES: usize = READ_BUFFER + 8 * 1024;
+/// What a connection may take: hyper's buffers either way, what is read on ahead, and its tasks.
+const CONNECTION_BYTES: usize = READ_BUFFER + 16 * 1024;
 /// Room for bodies at the least.
 const LEAST_BODY_BYTES: usize = 1 << 20;
 
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -83,12 +83,21 @@
         let late = begun.is_some_and(|begun| now > begun + READ_TIMEOUT);
         match self.stage.get() {
             Stage::Closing(since) if now > since + LINGER => self.end.notify_one(),
+            Stage::Open if self.socket.has_left() => self.end.notify_one(),
             Stage::Idle(_) if late && self.socket.is_quiet() => self.end.notify_one(),
             Stage::Idle(since) if !late && now > since + IDLE_TIMEOUT => self.close(),
             _ => {}
         }
     }
 
+    /// Ends once the client has left its open request: what it is owed no more is not to be sent either.
+    async fn left(&self) {
+        self.socket.left().await;
+        if self.stage.get() != Stage::Open {
+            std::future::pending().await // hyper sees to that
+        }
+    }
+
     /// If no request is open or begun: whether it has ever asked, and since when it has been idle. In this order
     /// they make room: a crowd of the silent takes no place from those that are served.
     fn idle(&self) -> Option<(bool, Instant)> {
@@ -266,6 +275,7 @@
                 biased;
                 () = polite => {}
                 () = client.end.notified() => {}
+                () = client.left() => {}
             }
             front.clients.borrow_mut().remove(&number);
             front.left.notify_one();
--- a/src/bin/sillward/socket.rs
+++ b/src/bin/sillward/socket.rs
@@ -2,12 +2,13 @@
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
 use std::mem::MaybeUninit;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -25,12 +26,22 @@
     stream: TcpStream,
     /// When the first bytes came since `Handle::listen_anew`.
     heard: Cell<Option<Instant>>,
+    /// What `Handle::left` has read and hyper has not asked for yet; one `CHUNK` at most.
+    ahead: RefCell<Vec<u8>>,
+}
+
+impl Shared {
+    fn hear(&self) {
+        if self.heard.get().is_none() {
+            self.heard.set(Some(Instant::now()));
+        }
+    }
 }
 
 impl Socket {
     pub fn new(stream: TcpStream) -> (Self, Handle) {
         let _ = stream.set_nodelay(true);
-        let shared = Rc::new(Shared { stream, heard: Cell::default() });
+        let shared = Rc::new(Shared { stream, heard: Cell::default(), ahead: RefCell::default() });
         let handle = Handle(Rc::downgrade(&shared));
         (Socket(shared), handle)
     }
@@ -51,9 +62,44 @@
     /// turn of the loop old.
     pub fn is_quiet(&self) -> bool {
         let Some(shared) = self.0.upgrade() else { return false };
+        if !shared.ahead.borrow().is_empty() {
+            return false;
+        }
         let peeked = SockRef::from(&shared.stream).peek(&mut [MaybeUninit::uninit()]);
         peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
     }
+
+    /// Ends once the peer has ended its side. Hyper does not look for that while bytes wait behind the request it
+    /// is at, so these are read on ahead, as far as there is room for them. To be polled after hyper, which is to
+    /// have first what it wants.
+    pub async fn left(&self) {
+        let Some(shared) = self.0.upgrade() else { return };
+        while shared.stream.readable().await.is_ok() {
+            let mut chunk = [0; CHUNK];
+            let mut ahead = shared.ahead.borrow_mut();
+            let room = CHUNK - ahead.len();
+            match shared.stream.try_read(&mut chunk[..room]) {
+                _ if room == 0 => break,
+                Ok(0) => return,
+                Ok(count) => {
+                    shared.hear();
+                    ahead.extend_from_slice(&chunk[..count]);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+        // No more can be read on ahead: `has_left` is left to see it.
+        std::future::pending().await
+    }
+
+    /// Whether the peer is known to have ended its side, whatever waits to be read before that.
+    pub fn has_left(&self) -> bool {
+        let Some(shared) = self.0.upgrade() else { return true };
+        let ready =
+            pin!(shared.stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
+        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
 }
 
 impl Read for Socket {
@@ -62,14 +108,21 @@
         cx: &mut Context<'_>,
         mut to: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut chunk = [0; CHUNK];
         let most = to.remaining().min(CHUNK);
+        let mut ahead = self.0.ahead.borrow_mut();
+        if !ahead.is_empty() {
+            let most = most.min(ahead.len());
+            to.put_slice(&ahead[..most]);
+            ahead.drain(..most);
+            return Poll::Ready(Ok(()));
+        }
+        let mut chunk = [0; CHUNK];
         loop {
             ready!(self.0.stream.poll_read_ready(cx))?;
             match self.0.stream.try_read(&mut chunk[..most]) {
                 Ok(count) => {
-                    if self.0.heard.get().is_none() && count > 0 {
-                        self.0.heard.set(Some(Instant::now()));
+                    if count > 0 {
+                        self.0.hear();
                     }
                     to.put_slice(&chunk[..count]);
                     return Poll::Ready(Ok(()));
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -443,6 +443,10 @@
     pub fn write(&mut self, bytes: &[u8]) {
         self.0.get_mut().write_all(bytes).expect("the node reads");
     }
+    /// Ends this side of the connection: to the node, this client has left.
+    pub fn leave(&mut self) {
+        self.0.get_mut().shutdown(Shutdown::Write).expect("it is open");
+    }
     /// Whether the node ends this connection, with nothing more said.
     pub fn ended(&mut self) -> bool {
         match self.0.fill_buf() {
