Answer a request half read at SIGTERM, and whoever is still open at the end

Two answers were owed and not given when a node ends (Front::run, src/bin/sillward/front.rs).

0.55 s after SIGTERM all connections were told to shut down. hyper closes one on which no whole head has been read since its last answer, also if half a request has been: its client had its first bytes read and gets no answer. Now only connections that are idle and quiet, by what the kernel says at that moment, are closed. What still comes on the others has no time left before SIGKILL, so it is refused at once, with Retry-After where permitted, and closed.

A client that says it waits for longer than its class's deadline, with late answers of some worth, was cut off without an answer when the node's time was up. The node now answers all that it still holds before it goes.

--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -114,6 +114,8 @@
     messages: mpsc::Sender<Message>,
     ready: Rc<Cell<bool>>,
     closing: Cell<bool>,
+    /// Idle connections are closed, and what still comes on others has no time left to be served.
+    late: Cell<bool>,
     /// The last number that a request or a connection was given.
     numbers: Cell<u64>,
     longest_deadline: Duration,
@@ -144,6 +146,7 @@
             messages,
             ready,
             closing: Cell::new(false),
+            late: Cell::new(false),
             numbers: Cell::new(0),
             longest_deadline: classes.map(|class| class.deadline).max().unwrap_or_default(),
             clients: RefCell::default(),
@@ -179,15 +182,24 @@
         }
         drop(listener);
         sleep(LAST_WORDS).await;
-        self.clients.borrow().values().for_each(|client| client.close.notify_one());
-        let all_left = async {
-            while !self.clients.borrow().is_empty() {
-                self.left.notified().await;
+        self.late.set(true);
+        // Who has begun a request, or has one open, is told to close with its answer.
+        let clients = self.clients.borrow().values().cloned().collect::<Vec<_>>();
+        let idle = |client: &&Rc<Client>| client.idle().is_some() && client.socket.is_quiet();
+        clients.iter().filter(idle).for_each(|client| client.close.notify_one());
+        if timeout(self.longest_deadline, self.all_left()).await.is_err() {
+            // Whose request was taken is owed an answer, however long it says that it waits; who is left then has
+            // sent half a request at most.
+            let _ = self.messages.send(Message::End).await; // or the node has ended
+            if timeout(LAST_WORDS, self.all_left()).await.is_err() {
+                log("a client would not end its connection");
             }
-        };
-        // Every request has its answer by its deadline; who is left then has sent half a request at most.
-        if timeout(self.longest_deadline, all_left).await.is_err() {
-            log("a client would not end its connection");
+        }
+    }
+
+    async fn all_left(&self) {
+        while !self.clients.borrow().is_empty() {
+            self.left.notified().await;
         }
     }
 
@@ -337,6 +349,9 @@
             return Ok(refusal(self.site.settings.limits.max_retry_after));
         };
         let body = request::read(body, request.length, room, until).await?;
+        if self.late.get() {
+            return Ok(refusal(self.site.settings.limits.max_retry_after));
+        }
         let at = self.clock.now();
         // Its own, or another client's: that one's attempts must not be taken for this one's.
         let Some(_open) = Open::enter(&self.open, &request.call_id) else {
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -26,6 +26,8 @@
     Attempt(Ended),
     Probe(ProbeEnded),
     List(News),
+    /// The node ends: whoever is still owed an answer gets one.
+    End,
 }
 
 /// A request that the front has taken.
@@ -188,6 +190,10 @@
                 let elapsed = self.clock.now().saturating_sub(sent);
                 self.decide(Event::Probed(ProbeEnd { server, outcome, elapsed, report }));
             }
+            Message::End => {
+                let ids: Vec<_> = self.held.keys().copied().collect();
+                ids.into_iter().for_each(|id| self.overdue(id));
+            }
             Message::List(news) => {
                 self.backends.pool.update(news.kind, &news.backends);
                 let entries = news.backends.into_iter().map(|backend| backend.entry).collect();
@@ -234,7 +240,7 @@
     /// Whatever the module does, nobody is left without an answer at the deadline.
     fn overdue(&mut self, id: RequestId) {
         let Some(held) = self.held.get_mut(&id).filter(|held| held.reply.is_some()) else { return };
-        log_peer(format_args!("request {} was unanswered at its deadline: failed", id.0));
+        log_peer(format_args!("request {} was unanswered when its time was up: failed", id.0));
         held.answer(Answer::TimedOut);
         self.decide(Event::ClientGone { id });
         self.forget(id);
