--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -61,6 +61,9 @@
     pub report: Option<LoadReport>,
 }
 
+/// How an exchange ended, the report that came along, and the body.
+type End = (Outcome, Option<LoadReport>, Option<Bytes>);
+
 pub struct Backends {
     clock: Clock,
     pub pool: Rc<Pool>,
@@ -92,11 +95,7 @@
         Ended { id: attempt.id, number: attempt.number, outcome, report, body }
     }
 
-    async fn exchange(
-        self: &Rc<Self>,
-        attempt: &Attempt,
-        written: &Cell<bool>,
-    ) -> (Outcome, Option<LoadReport>, Option<Bytes>) {
+    async fn exchange(self: &Rc<Self>, attempt: &Attempt, written: &Cell<bool>) -> End {
         for _ in 0..BROKEN_IN_A_ROW {
             let mut connection = match self.pool.take(attempt.server).await {
                 Ok(connection) => connection,
@@ -112,7 +111,11 @@
             };
             written.set(true);
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return self.answered(attempt.server, connection, response).await,
+                Ok(response) => {
+                    let (ended, whole) = self.answered(attempt.server, connection, response).await;
+                    whole.into_iter().for_each(|connection| self.pool.put(connection));
+                    return ended;
+                }
                 // Given back: not a byte of it was written, so another connection may have it.
                 Err(mut e) => match e.take_message() {
                     Some(_) => written.set(false),
@@ -150,13 +153,14 @@
         Some(request)
     }
 
-    /// Reads the answer whole, so that a broken one is still an outcome and not a half answer to the client.
+    /// Reads the answer whole, so that a broken one is still an outcome and not a half answer to the client. The
+    /// connection comes back if it may go on.
     async fn answered(
         &self,
         server: ServerId,
         connection: Connection,
         response: Response<Incoming>,
-    ) -> (Outcome, Option<LoadReport>, Option<Bytes>) {
+    ) -> (End, Option<Connection>) {
         let (head, body) = response.into_parts();
         let report = self.report_in(&head.headers);
         let length = body.size_hint().exact();
@@ -165,26 +169,26 @@
         let length = length.map_or(BODY_LIMIT, |length| usize::try_from(length).unwrap_or(usize::MAX));
         if !framed || length > BODY_LIMIT {
             log_peer(format_args!("server {:x}: an answer of no length, or too long, was dropped", server.0));
-            return (Outcome::Error, report, None);
+            return ((Outcome::Error, report, None), None);
         }
         let Some(room) = self.budget.lease(length) else {
             log_peer("no room for an answer's body: dropped");
-            return (Outcome::Error, report, None);
+            return ((Outcome::Error, report, None), None);
         };
         let body = match Limited::new(body, BODY_LIMIT).collect().await {
             Ok(body) => room.keep(body.to_bytes()),
-            Err(e) => return (e.downcast_ref().map_or(Outcome::Error, broken), None, None),
+            Err(e) => return ((e.downcast_ref().map_or(Outcome::Error, broken), None, None), None),
         };
-        self.pool.put(connection);
         let turned_away = head.headers.get("x-rejected").is_some_and(|value| value == "1");
-        match head.status {
+        let end = match head.status {
             StatusCode::OK => (Outcome::Served, report, Some(body)),
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => {
                 (Outcome::Rejected, report, None)
             }
             // Nothing else promises that the request never ran.
             _ => (Outcome::Error, report, None),
-        }
+        };
+        (end, Some(connection))
     }
 
     /// Asks a backend for its load, or for a sign of life where it reports none.
@@ -207,7 +211,9 @@
             Ok(response) => response,
             Err(e) => return (broken(&e), None),
         };
-        let (outcome, in_head, body) = self.answered(server, connection, response).await;
+        let ((outcome, in_head, body), whole) = self.answered(server, connection, response).await;
+        // What a probe has found idle is mostly sent to at once, over this connection.
+        whole.into_iter().for_each(|connection| self.pool.offer(connection));
         let in_body = || {
             let body = body.filter(|_| reports)?;
             self.report(std::str::from_utf8(&body).ok()?)
--- a/src/bin/sillward/pool.rs
+++ b/src/bin/sillward/pool.rs
@@ -22,8 +22,9 @@
 /// No head of an answer is longer; it also bounds what a connection may buffer. The least that hyper allows.
 const READ_BUFFER: usize = 8 * 1024;
 /// A second copy of an answer may come some milliseconds behind the first. On a connection that carries a request
-/// again by then, it would be taken for that one's answer: so long a connection rests after an answer.
-pub const REST: Duration = Duration::from_millis(10);
+/// again by then, it would be taken for that one's answer: so long a connection rests after an answer. Copies have
+/// been seen up to 4 ms late; a longer rest costs handshakes.
+pub const REST: Duration = Duration::from_millis(6);
 const EMFILE: i32 = 24;
 const ENFILE: i32 = 23;
 const EADDRNOTAVAIL: i32 = 99;
@@ -278,7 +279,7 @@
         None
     }
 
-    /// Takes back a connection that has carried an answer. Once it has rested, it is there for whoever waits then.
+    /// Takes back a connection that has carried the answer to a request. Once it has rested, it is there for whoever waits then.
     pub fn put(self: &Rc<Self>, mut connection: Connection) {
         let (now, server) = (self.clock.now(), connection.server);
         connection.rests_until = now + self.rest;
@@ -300,7 +301,7 @@
         }
     }
 
-    /// Gives a connection that carries nothing to whoever has waited longest, or keeps it: a dial that came too
+    /// Gives a connection that carries nothing, and is owed no rest, to whoever has waited longest, or keeps it: a dial that came too
     /// late serves the next request.
     pub fn offer(&self, mut connection: Connection) {
         let mut places = self.places.borrow_mut();
