--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,7 +25,7 @@
 /// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind.
 const COLD_SPEND: f64 = 0.4;
 const HEAVY: f64 = 2.0; // nothing of more than so many times the usual work goes to a cold server
-/// What a silent watch misses counts as told 6 s after it fell silent; that it has broken shows late in that.
+/// What a silent watch misses counts as told 6 s after it fell silent, and most of that passes unnoticed.
 const REOPEN: Duration = Duration::from_millis(500);
 /// Crowding beyond this many requests is treated alike, and no more servers than this are compared.
 const LEVELS: usize = 64;
