Count attempts given up early as late, each by its class's usual time

Only an attempt that had run up to its request's own end, and for longer than the usual answer of all classes together, counted (policy.rs, `overdue` in on_outcome). Where one attempt may be out it is given up before that, for a further one; and with classes of 0.2, 0.4 and 1 s the quick class is over before the mixed usual time.

Now an attempt that ran to the end it was given counts, if it took longer than its own class usually does.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -45,6 +45,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or_default();
         let mut node = Balancer::empty(settings, Pcg32::seed_from_u64(seed));
+        node.usual_times = node.settings.classes.iter().map(|c| c.aim.as_secs_f64() / 2.0).collect();
         (node.answer_time, node.median) = (aim.as_secs_f64() / 2.0, aim.as_secs_f64() / 4.0);
         (node.sends, node.idle_signs, node.busy) = (1.0, 1.0, 0.5);
         (node.in_time, node.taken, node.retry_tokens) = (vec![0.25; LEVELS], 2.0, 1.0 / RETRY_SHARE);
@@ -305,7 +306,7 @@
             actions.push(Action::SetTimer { after: patience, token: id.0 });
         }
         let crowd = (self.crowd(server).round() as usize).min(LEVELS - 1);
-        let attempt = Attempt { to: server.entry, sent: now, crowd, outcome: None };
+        let attempt = Attempt { to: server.entry, sent: now, ends: now + timeout, crowd, outcome: None };
         self.requests.entry(id).and_modify(|r| (r.probed, _) = (true, r.attempts.push(attempt)));
         self.servers.entry(to).and_modify(|s| {
             (s.ticket, s.count, s.out) = (Duration::ZERO, s.count + 1, s.out + 1);
@@ -322,7 +323,6 @@
     // ---- What follows an outcome ------------------------------------------------------------
 
     fn on_outcome(&mut self, end: AttemptEnd, actions: &mut Vec<Action>) {
-        let usual = self.answer_time;
         let Some(request) = self.requests.get_mut(&end.id) else { return };
         let Some(attempt) = request.attempts.get_mut(end.attempt as usize) else { return };
         if attempt.outcome.replace(end.outcome).is_some() {
@@ -330,12 +330,17 @@
         }
         let (crowd, weight) = (attempt.crowd, request.weight);
         // What is found out long after its time tells of this node's own pause, not of the server.
-        let past = self.now.as_secs_f64() - request.until.as_secs_f64();
+        let usual = self.usual_times[request.class];
+        let past = self.now.as_secs_f64() - attempt.ends.as_secs_f64();
         let overdue = (0.0..usual / 4.0).contains(&past) && end.elapsed.as_secs_f64() >= usual;
         // Nothing to spare, or well past the aim where late answers have worth.
         let (class, left) = (&self.settings.classes[request.class], request.until - attempt.sent);
         let tight = 4 * end.elapsed > if class.late_worth > 0.0 { 5 } else { 3 } * class.aim.min(left);
         let (finished, waiting) = (end.finished || request.done, request.out() == 0);
+        if end.outcome == Outcome::Served {
+            let usual = &mut self.usual_times[request.class];
+            *usual += (end.elapsed.as_secs_f64() - *usual) * SMOOTH / 4.0;
+        }
         self.servers.entry(end.server).and_modify(|s| s.out = s.out.saturating_sub(1));
         self.on_report(end.server, end.report, end.outcome == Outcome::Served);
         self.learn(&end, overdue, tight, crowd, weight);
--- a/src/state.rs
+++ b/src/state.rs
@@ -32,6 +32,8 @@
 pub struct Attempt {
     pub to: ServerEntry,
     pub sent: Duration,
+    /// Until when this node waits for it.
+    pub ends: Duration,
     /// How crowded the server was at the send.
     pub crowd: usize,
     pub outcome: Option<Outcome>,
@@ -114,6 +116,8 @@
     pub(crate) probes_out: u32,
     /// Smoothed time of an answer, and hinted work of a request, in seconds.
     pub(crate) answer_time: f64,
+    /// Smoothed time of an answer by class, in seconds.
+    pub(crate) usual_times: Vec<f64>,
     /// The median time of an answer, in seconds.
     pub(crate) median: f64,
     /// Smoothed share of failed attempts at all servers.
@@ -157,6 +161,7 @@
             held: Default::default(),
             probes_out: Default::default(),
             answer_time: Default::default(),
+            usual_times: Default::default(),
             median: Default::default(),
             failing: Default::default(),
             usual_cost: Default::default(),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -857,3 +857,62 @@
     let reached: usize = (0..2).map(|server| met.get(&server).copied().unwrap_or(0)).sum();
     assert!(reached > 150, "{met:?}");
 }
+
+/// Plays requests one after another, each with what its attempts meet; counts those that were refused unsent.
+fn held_back(
+    world: &mut World,
+    requests: usize,
+    mut play: impl FnMut(&mut World, usize) -> Vec<Action>,
+) -> usize {
+    (0..requests).filter(|n| refused(&play(world, *n))).count()
+}
+
+#[test]
+fn an_attempt_given_up_for_the_next_one_was_late() {
+    // The danger: in a jam most first attempts are given up before their request's time is over. A node that
+    // counts only what is late at the very end goes on filling the servers up.
+    let mut settings = answering();
+    settings.limits.parallel_attempts = false;
+    let refused = |given_up: usize| {
+        let mut world = World::with_servers(settings.clone(), 12);
+        for _ in 0..100 {
+            serve(&mut world, 1.0);
+        }
+        held_back(&mut world, 300, |world, n| {
+            let (id, actions) = world.request(0);
+            if n % 3 < given_up && !refused(&actions) {
+                while world.out() == [(id, 0)] {
+                    world.pass(ms(1));
+                }
+            }
+            for (id, attempt) in world.out() {
+                world.end(id, attempt, Outcome::Served, Some(1.0));
+            }
+            actions
+        })
+    };
+    assert_eq!(refused(0), 0);
+    assert!(refused(1) > 15, "{} of 300", refused(1));
+}
+
+#[test]
+fn what_is_late_for_its_class_counts_however_long_other_classes_take() {
+    // The danger: where one class takes a second, nothing that a quick class loses within that is ever seen.
+    let mut settings = answering();
+    settings.limits.parallel_attempts = false;
+    (settings.classes[0].aim, settings.classes[0].deadline) = (ms(100), ms(100));
+    (settings.classes[1].aim, settings.classes[1].deadline) = (ms(4000), ms(4000));
+    let mut world = World::with_servers(settings, 12);
+    let held = held_back(&mut world, 400, |world, _| {
+        let (slow, _) = world.request_with(1, 0, ms(4000), None);
+        world.pass(ms(1000));
+        for (id, attempt) in world.out().into_iter().filter(|(id, _)| *id == slow) {
+            world.end(id, attempt, Outcome::Served, Some(1.0));
+        }
+        let (quick, actions) = world.request_with(0, 0, ms(100), None);
+        world.pass(ms(100)); // no answer comes
+        assert!(world.answered(quick));
+        actions
+    });
+    assert!(held > 200, "{held} of 400");
+}
