Let every late attempt hold requests back, and dear requests with the others

Nodes that had run for 12 s let a thirtieth through by their own account, yet sent a fourteenth of all tries.

Ruled out by trials: a window of attempts for nodes that have just started, fewer trials, servers that report a queue taken as crowded, starting with no reserve, cold servers held back apart: no gain beyond noise.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,6 +22,8 @@
 const FEW: f64 = 6.0;
 /// An attempt is silent after so many times the median answer: for exponential answer times one in sixteen.
 const SILENT: f64 = 4.0;
+/// The least share of requests that servers not crowded at all are sent: a jam clears only when left alone.
+const LEAST_TAKEN: f64 = SMOOTH * SMOOTH;
 /// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind.
 const COLD_SPEND: f64 = 0.4;
 const HEAVY: f64 = 2.0; // nothing of more than so many times the usual work goes to a cold server
@@ -159,8 +161,8 @@
         let idle = self.fresh_load(server).is_some_and(|load| load < 0.5);
         let open =
             (idle || chance <= self.taken) && (level == 0 || self.in_time[level.min(LEVELS - 1)] >= 0.75);
-        // A few are tried in any case, or else nothing would tell of better times.
-        open || server.out == 0 && chance < SMOOTH / 2.0
+        // A few are tried in any case, or else nothing would tell of better times: as few of the dear ones.
+        open || server.out == 0 && luck < SMOOTH / 2.0
     }
 
     // ---- The pick ---------------------------------------------------------------------------
@@ -376,15 +378,15 @@
                 self.in_time[..=crowd].iter_mut().for_each(|share| *share += (1.0 - *share) * SMOOTH);
                 let next = &mut self.in_time[(crowd + 1).min(LEVELS - 1)];
                 *next += (1.0 - *next) * SMOOTH / 2.0;
-                self.taken = (self.taken + SMOOTH * 2.0 / 7.0).min(2.0);
+                // In proportion, or else a small share would stand where most are late.
+                self.taken = (self.taken + SMOOTH * 2.0 / 7.0 * self.taken.clamp(0.5, 1.0)).min(2.0);
             }
             _ if late || matches!(end.outcome, Outcome::Served | Outcome::Rejected) => {
                 if crowd > 0 {
                     self.in_time[crowd..].iter_mut().for_each(|share| *share -= *share * SMOOTH);
-                } else {
-                    // Not crowded by this node: others crowd it, or something is wrong with it.
-                    self.taken = (self.taken - self.taken * SMOOTH).max(SMOOTH / 2.0);
                 }
+                // However few are this node's own: others crowd it as well, or something is wrong with it.
+                self.taken = (self.taken - self.taken * SMOOTH).max(LEAST_TAKEN);
             }
             _ => {}
         }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -916,3 +916,47 @@
     });
     assert!(held > 200, "{held} of 400");
 }
+
+#[test]
+fn what_is_late_at_a_server_that_the_node_crowds_itself_holds_requests_back_too() {
+    // The danger: of hundreds of nodes each has one or two requests at a server, which is in a jam by then.
+    let mut settings = answering();
+    settings.limits.parallel_attempts = false;
+    let mut world = World::with_servers(settings, 1);
+    let held = held_back(&mut world, 400, |world, n| {
+        let (first, actions) = world.request(1);
+        world.request(1);
+        world.pass(ms(50));
+        let answer = |world: &mut World, ready: &dyn Fn(RequestId) -> bool| {
+            for (id, attempt) in world.out().into_iter().filter(|(id, _)| ready(*id)) {
+                world.end(id, attempt, Outcome::Served, Some(1.0));
+            }
+        };
+        // Alone, so few late ones would hold nothing back.
+        answer(world, &|id| id == first && n % 5 > 0);
+        world.pass(ms(340));
+        answer(world, &|_| true);
+        actions
+    });
+    assert!(held > 50, "{held} of 400");
+}
+
+#[test]
+fn in_a_jam_dear_requests_are_held_back_as_well() {
+    // The danger: what is worth most is tried so often, by all nodes, that the servers never get out of the jam.
+    let mut settings = answering();
+    settings.limits.parallel_attempts = false;
+    (settings.classes[0].worth, settings.classes[1].worth) = (12.0, 1.0);
+    let mut world = World::with_servers(settings, 4);
+    let late = |world: &mut World, n: usize| {
+        let (_, actions) = world.request(usize::from(n % 4 > 0));
+        world.pass(ms(390));
+        for (id, attempt) in world.out() {
+            world.end(id, attempt, Outcome::Served, Some(3.0));
+        }
+        if n % 4 == 0 { actions } else { Vec::new() }
+    };
+    held_back(&mut world, 400, late);
+    let held = held_back(&mut world, 800, late);
+    assert!(held > 120, "{held} of 200 dear requests were held back");
+}
