Judge what cold servers may be sent by the best that warm ones carried lately

At fault: a cold server's part was reckoned from what a warm one had answered for this node in the last few seconds (`carried_by_one`, used in `draw_tickets`). In a jam that falls, from 2.3 a second to 0.6, so the cold ones were sent less just when they alone had room; and a node that has just started took its short past for a whole one.

Now the best that a warm server has carried counts, forgotten over the time in which a server gets warm, and a rate takes only the time since the node's start. What a warm server has carried is at most its capacity, so the bound holds.

Ruled out by trials: the cold servers' own answer times as a measure of what they bear, and a part of what each has answered: no gain.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,7 +5,7 @@
 
 use crate::interface::*;
 pub use crate::state::Balancer;
-use crate::state::{Attempt, Request, Server};
+use crate::state::{Attempt, Rate, Request, Server};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use std::time::Duration;
@@ -59,6 +59,9 @@
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
         let first = self.now.is_zero();
         self.now = now.max(self.now).max(Duration::from_nanos(1));
+        if first {
+            (self.started, self.part_at) = (self.now, self.now);
+        }
         if first && self.settings.list_on_request {
             // All nodes may have started together: they spread their first calls.
             self.ask_at = Some(self.now + self.settings.rules.ask_within.mul_f64(self.random() / 4.0));
@@ -121,7 +124,11 @@
         let (rules, now) = (self.settings.rules, self.now);
         let cold = |id: &ServerId| self.servers.get(id).is_some_and(|s| self.warmth(s) < 1.0);
         let cold: Vec<_> = self.ring().take(2 * self.enough()).filter(cold).collect();
-        let part = if cold.is_empty() { 0.0 } else { self.carried_by_one() };
+        // What a warm server can do does not fall with what is answered in a jam: the best of late counts.
+        let fading = (now - self.part_at).as_secs_f64() / rules.warm_after.as_secs_f64().max(1e-3);
+        self.part = (self.part * (-fading).exp()).max(self.carried_by_one());
+        self.part_at = now;
+        let part = self.part;
         for id in cold {
             let rate = rules.overload_factor * COLD_SPEND * self.warmth(&self.servers[&id]) * part;
             let (chance, span) = (self.random(), rules.overload_time / 2);
@@ -138,7 +145,14 @@
         let near = self.enough().min(self.order.len());
         let warm = self.ring().take(near).filter(|id| self.warmth(&self.servers[id]) >= 1.0).count();
         let (total, by) = if warm > 0 { (&self.carried, warm) } else { (&self.arrived, near.max(1)) };
-        total.per_s(self.now, self.memory()) / by as f64
+        self.rate(total) / by as f64
+    }
+
+    /// How much of something there is a second. A node that has just started has seen only a part of the time
+    /// over which rates are taken.
+    fn rate(&self, of: &Rate) -> f64 {
+        let age = (self.now - self.started).as_secs_f64() / self.memory();
+        of.per_s(self.now, self.memory()) / (1.0 - (-age).exp()).max(SMOOTH)
     }
 
     /// Rates are taken over a few of the spans in which a cold server is judged.
--- a/src/state.rs
+++ b/src/state.rs
@@ -107,6 +107,8 @@
     pub(crate) settings: Settings,
     pub(crate) rng: Pcg32,
     pub(crate) now: Duration,
+    /// When its first event came.
+    pub(crate) started: Duration,
     pub(crate) servers: BTreeMap<ServerId, Server>,
     /// The ready servers, in the order of their ring.
     pub(crate) order: Vec<ServerId>,
@@ -138,6 +140,9 @@
     pub(crate) sent: Rate,
     pub(crate) arrived: Rate,
     pub(crate) carried: Rate,
+    /// The most that a warm server has carried for this node a second, forgotten slowly, and as of when.
+    pub(crate) part: f64,
+    pub(crate) part_at: Duration,
     /// What each tenant may still ask for within its share, and when that was reckoned.
     pub(crate) allowances: Vec<Allowance>,
     /// How long clients wait for a first try, by class.
@@ -155,6 +160,7 @@
         Balancer {
             rng,
             now: Default::default(),
+            started: Default::default(),
             servers: Default::default(),
             order: Default::default(),
             requests: Default::default(),
@@ -176,6 +182,8 @@
             sent: Default::default(),
             arrived: Default::default(),
             carried: Default::default(),
+            part: Default::default(),
+            part_at: Default::default(),
             allowances: vec![Allowance::default(); settings.tenants.len()],
             backoff: None,
             patience: vec![Duration::ZERO; settings.classes.len()],
--- /dev/null
+++ b/tests/world/fleet.rs
@@ -0,0 +1,255 @@
+//! Many nodes before the same servers: the balancers share nothing but the servers that they send to. Events come
+//! in the order of their time, and seeded draws stand for chance.
+
+use hillpick::*;
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::time::Duration;
+
+/// A server: one line of waiting requests, served at its present capacity.
+pub struct Server {
+    pub entry: ServerEntry,
+    free_at: Duration,
+    /// When requests were sent to it within the last span of the cold rule.
+    lately: VecDeque<Duration>,
+    /// The most that it was sent in a span while cold, beyond what the settings allow it then: N + 2 x root of N + 2.
+    pub excess: f64,
+    pub served: usize,
+}
+
+struct Try {
+    server: ServerId,
+    ended: bool,
+}
+
+struct Node {
+    balancer: Balancer,
+    /// How often it was started: what was set before is void.
+    run: u32,
+    tries: BTreeMap<RequestId, Vec<Try>>,
+    rate: f64,
+}
+
+enum Due {
+    Arrival,
+    Timer(u64),
+    End { id: RequestId, attempt: usize, outcome: Outcome, sent: Duration },
+    Restart,
+}
+
+pub struct Fleet {
+    pub now: Duration,
+    settings: Settings,
+    /// Requests a second that a warm server can do.
+    capacity: f64,
+    nodes: Vec<Node>,
+    pub servers: BTreeMap<ServerId, Server>,
+    due: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: BTreeMap<u64, (usize, u32, Due)>,
+    set: u64,
+    rng: Pcg32,
+    pub asked: usize,
+    pub served: usize,
+}
+
+impl Fleet {
+    /// So many nodes, warm servers and requests a second in all. Some nodes see several times the mean.
+    pub fn new(settings: &Settings, nodes: u32, servers: u64, capacity: f64, rate: f64, seed: u64) -> Self {
+        let mut fleet = Fleet {
+            now: Duration::from_secs(100),
+            settings: Settings { nodes, ..settings.clone() },
+            capacity,
+            nodes: Vec::new(),
+            servers: BTreeMap::new(),
+            due: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            set: 0,
+            rng: Pcg32::seed_from_u64(seed),
+            asked: 0,
+            served: 0,
+        };
+        let weights: Vec<f64> = (0..nodes).map(|n| if n % 10 == 9 { 4.0 } else { 1.0 }).collect();
+        let total: f64 = weights.iter().sum();
+        for (node, weight) in weights.into_iter().enumerate() {
+            let balancer = fleet.started(node);
+            let rate = rate * weight / total;
+            fleet.nodes.push(Node { balancer, run: 0, tries: BTreeMap::new(), rate });
+        }
+        for server in 0..servers {
+            fleet.add(super::entry(server));
+        }
+        for node in 0..fleet.nodes.len() {
+            fleet.tell_all(node);
+            fleet.arrive(node);
+        }
+        fleet
+    }
+
+    fn started(&mut self, node: usize) -> Balancer {
+        let settings = Settings { node: node as u32, ..self.settings.clone() };
+        Balancer::new(settings, self.rng.next_u64())
+    }
+
+    fn add(&mut self, entry: ServerEntry) {
+        let server =
+            Server { entry, free_at: self.now, lately: VecDeque::new(), excess: f64::MIN, served: 0 };
+        self.servers.insert(entry.id, server);
+    }
+
+    /// Replaces servers by ones that start now, and tells all nodes of it.
+    pub fn replace(&mut self, gone: std::ops::Range<u64>, new: std::ops::Range<u64>) {
+        for id in new {
+            self.add(ServerEntry { started: Some(self.now), ..super::entry(id) });
+        }
+        for id in gone {
+            let server = self.servers.get_mut(&ServerId(id)).expect("a server");
+            server.entry.state = ServerState::Draining;
+        }
+        (0..self.nodes.len()).for_each(|node| self.tell_all(node));
+    }
+
+    /// Has nodes start anew, one after the other over that time.
+    pub fn restart_all(&mut self, over: Duration) {
+        let count = self.nodes.len() as u32;
+        for node in 0..count {
+            let run = self.nodes[node as usize].run;
+            self.set(self.now + over / count * node, node as usize, run, Due::Restart);
+        }
+    }
+
+    fn tell_all(&mut self, node: usize) {
+        let entries = self.servers.values().map(|server| server.entry).collect();
+        self.tell(node, Event::List { kind: ListKind::Full, entries });
+    }
+
+    fn chance(&mut self) -> f64 {
+        f64::from(self.rng.next_u32()) / 2f64.powi(32)
+    }
+
+    /// A draw from the exponential distribution of mean 1.
+    fn exponential(&mut self) -> f64 {
+        -(1.0 - self.chance()).ln()
+    }
+
+    fn arrive(&mut self, node: usize) {
+        let after = Duration::from_secs_f64(self.exponential() / self.nodes[node].rate);
+        let run = self.nodes[node].run;
+        self.set(self.now + after, node, run, Due::Arrival);
+    }
+
+    fn set(&mut self, at: Duration, node: usize, run: u32, due: Due) {
+        self.set += 1;
+        self.due.push(Reverse((at, self.set)));
+        self.events.insert(self.set, (node, run, due));
+    }
+
+    pub fn pass(&mut self, time: Duration) {
+        let until = self.now + time;
+        while let Some(Reverse((at, number))) = self.due.peek().copied().filter(|next| next.0.0 <= until) {
+            self.due.pop();
+            let (node, run, due) = self.events.remove(&number).expect("an event");
+            self.now = at;
+            match due {
+                Due::Arrival => {
+                    self.arrive(node);
+                    self.request(node);
+                }
+                Due::Restart => self.restart(node),
+                _ if run != self.nodes[node].run => {}
+                Due::Timer(token) => self.tell(node, Event::Timer { token }),
+                Due::End { id, attempt, outcome, sent } => self.end(node, id, attempt, outcome, sent),
+            }
+        }
+        self.now = until;
+    }
+
+    fn request(&mut self, node: usize) {
+        self.asked += 1;
+        let id = RequestId(self.asked as u64);
+        self.nodes[node].tries.insert(id, Vec::new());
+        let remaining = self.settings.classes[0].deadline;
+        self.tell(node, Event::Request(NewRequest { id, remaining, ..NewRequest::default() }));
+    }
+
+    fn restart(&mut self, node: usize) {
+        let balancer = self.started(node);
+        let new = &mut self.nodes[node];
+        (new.balancer, new.run) = (balancer, new.run + 1);
+        new.tries.clear();
+        self.tell_all(node);
+    }
+
+    fn end(&mut self, node: usize, id: RequestId, attempt: usize, outcome: Outcome, sent: Duration) {
+        let Some(tries) = self.nodes[node].tries.get_mut(&id) else { return };
+        let one = &mut tries[attempt];
+        if std::mem::replace(&mut one.ended, true) {
+            return; // it was cancelled
+        }
+        let server = one.server;
+        let served = outcome == Outcome::Served;
+        self.served += usize::from(served);
+        self.servers.get_mut(&server).expect("a server").served += usize::from(served);
+        let elapsed = self.now - sent;
+        let attempt = attempt as u32;
+        let end = AttemptEnd { id, attempt, server, outcome, elapsed, finished: served, report: None };
+        self.tell(node, Event::AttemptEnded(end));
+    }
+
+    fn tell(&mut self, node: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.nodes[node].balancer.handle(self.now, event, &mut actions);
+        for action in actions {
+            let run = self.nodes[node].run;
+            match action {
+                Action::Send { id, server, timeout } => self.send(node, id, server, timeout),
+                Action::SetTimer { after, token } => {
+                    let at = self.now + after.max(Duration::from_nanos(1));
+                    self.set(at, node, run, Due::Timer(token));
+                }
+                Action::Cancel { id, attempt } => {
+                    let sent = self.now;
+                    let due = Due::End { id, attempt: attempt as usize, outcome: Outcome::Cancelled, sent };
+                    self.set(self.now, node, run, due);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, node: usize, id: RequestId, to: ServerId, timeout: Duration) {
+        let (now, work) = (self.now, self.exponential());
+        let (rules, capacity) = (self.settings.rules, self.capacity);
+        let server = self.servers.get_mut(&to).expect("a server that is listed");
+        let warmth = server.entry.started.map_or(1.0, |started| {
+            let grown = (now - started).as_secs_f64() / rules.warm_after.as_secs_f64();
+            (rules.cold_share + (1.0 - rules.cold_share) * grown).min(1.0)
+        });
+        if warmth < 1.0 {
+            server.lately.push_back(now);
+            while server.lately.front().is_some_and(|at| now - *at > rules.overload_time) {
+                server.lately.pop_front();
+            }
+            let allowed = rules.overload_factor * warmth * capacity * rules.overload_time.as_secs_f64();
+            let sent = server.lately.len() as f64;
+            server.excess = server.excess.max(sent - (allowed + 2.0 * allowed.sqrt() + 2.0));
+        }
+        let begins = server.free_at.max(now);
+        let ends = begins + Duration::from_secs_f64(work / (capacity * warmth));
+        server.free_at = ends;
+        let tries = self.nodes[node].tries.entry(id).or_default();
+        let attempt = tries.len();
+        tries.push(Try { server: to, ended: false });
+        let (at, outcome) =
+            if ends <= now + timeout { (ends, Outcome::Served) } else { (now + timeout, Outcome::TimedOut) };
+        let run = self.nodes[node].run;
+        self.set(at, node, run, Due::End { id, attempt, outcome, sent: now });
+    }
+
+    /// The most by which any cold server was sent more than all nodes together may send it; not above 0 if they kept
+    /// to that.
+    pub fn excess(&self) -> f64 {
+        self.servers.values().map(|server| server.excess).fold(f64::MIN, f64::max)
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -2,6 +2,8 @@
 //! four rules with bookkeeping of its own.
 #![allow(dead_code)] // each test file uses its own part of this
 
+pub mod fleet;
+
 use hillpick::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
