Have the next list in within 6 s after any call to discovery that failed

New term: whatever a call to discovery ended in, a change counts as told 6 s after discovery could be reached. At fault: where lists are asked for, the wait after a failed call grew to half of what the site lets a node go without asking (policy.rs, on_list: 5 s for 10 s, a minute for two), and a stalled call took 4.5 s before that (discovery.rs, SILENCE). Now the wait ends at 1.25 s and a call or watch counts as silent after 4 s, two of its empty lines: with the tick and a call that takes 0.4 s itself the next list is in after 5.9 s at the most. A call lost on the way is made again after 6 s.

The test plays discovery in the runtime's own time, through the real node's discovery and module: refused, answered 503, reset, stalled, cut in half, a watch gone silent, pushed and asked for, 40 lengths each. Waits of 1 s were too many calls for a_list_that_never_comes_while_requests_flood_in_is_asked_for_with_growing_waits, which stands as it was.

--- a/src/bin/sillward/discovery.rs
+++ b/src/bin/sillward/discovery.rs
@@ -28,8 +28,9 @@
 
 const LIST: &str = "/registry/instances";
 /// A watch says something every 2 s; one that is silent for so long is broken, whatever TCP says. What it misses
-/// counts as told 6 s after it fell silent: by then it is to be open anew.
-const SILENCE: Duration = Duration::from_millis(4500);
+/// counts as told 6 s after it fell silent, and what a call misses 6 s after discovery can be reached again: by then
+/// the next list is to be in, with the pause before that call, its jitter and the call itself.
+const SILENCE: Duration = Duration::from_secs(4);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Where nothing is to be kept sooner: between calls, and for a connection to come up.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
@@ -364,3 +365,7 @@
         self.0.abort();
     }
 }
+
+#[cfg(test)]
+#[path = "discovery_tests.rs"]
+mod tests;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,6 +29,11 @@
 const HEAVY: f64 = 2.0; // nothing of more than so many times the usual work goes to a cold server
 /// What a silent watch misses counts as told 6 s after it fell silent, and most of that passes unnoticed.
 const REOPEN: Duration = Duration::from_millis(500);
+/// What a failed call misses counts as told 6 s after discovery can be reached, however long the site lets a node go
+/// without asking. A call that stays silent takes most of that, so this is the longest wait before the next one.
+const CALL_AGAIN: Duration = Duration::from_millis(1250);
+/// And so long an answer may be out at the most before discovery is asked again.
+const TOLD_AFTER: Duration = Duration::from_secs(6);
 /// Crowding beyond this many requests is treated alike, and no more servers than this are compared.
 const LEVELS: usize = 64;
 
@@ -549,7 +554,7 @@
     fn on_list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
         if kind == ListKind::Failed {
             let within = self.settings.rules.ask_within;
-            self.ask_wait = (2 * self.ask_wait).clamp(REOPEN.min(within / 16), within / 2);
+            self.ask_wait = (2 * self.ask_wait).clamp(REOPEN.min(within / 16), CALL_AGAIN.min(within / 2));
             self.ask_at = Some(self.now + self.ask_wait.mul_f64(0.5 + self.random() / 2.0));
             return;
         }
@@ -593,7 +598,7 @@
     fn on_tick(&mut self, actions: &mut Vec<Action>) {
         if self.ask_at.is_some_and(|at| self.now >= at) {
             actions.push(Action::Subscribe { on: true });
-            self.ask_at = Some(self.now + self.settings.rules.ask_within / 2);
+            self.ask_at = Some(self.now + TOLD_AFTER.min(self.settings.rules.ask_within / 2));
         }
         let after = (self.settings.rules.ask_within / 64).min(REOPEN / 2);
         actions.push(Action::SetTimer { after, token: TICK });
