Keep descriptors for discovery and backends where the system allows fewer than told

At fault: config.rs shares out the descriptors that the configuration names. Where the system allows fewer, idle clients took all of them; the way back to discovery then failed with "Too many open files", as did each accept. Now the lower of the two is shared out, and what the node keeps for itself is at most half of it.

--- a/src/bin/sillward/config.rs
+++ b/src/bin/sillward/config.rs
@@ -72,6 +72,15 @@
     }
 
     pub fn parse(text: &str) -> Result<Self, String> {
+        let open_files = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        Config::within(
+            text,
+            open_files.map_or(usize::MAX, |most| usize::try_from(most).unwrap_or(usize::MAX)),
+        )
+    }
+
+    /// As `parse`, for a process that may have so many files open.
+    fn within(text: &str, open_files: usize) -> Result<Self, String> {
         let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
         let seed = match file.seed.as_str() {
             "" => 0,
@@ -85,13 +94,15 @@
             }
         }
         let free = ((file.limits.memory_mb * f64::from(1 << 20)) as usize).saturating_sub(OWN_BYTES);
-        let connections = file.limits.sockets.saturating_sub(SPARE_SOCKETS);
-        if connections < 2 {
+        if file.limits.sockets < SPARE_SOCKETS + 2 {
             return Err(format!(
                 "{} sockets are too few: {SPARE_SOCKETS} and 2 at least",
                 file.limits.sockets
             ));
         }
+        // The system may allow fewer. Whatever clients do, some are left for discovery and for backends.
+        let sockets = file.limits.sockets.min(open_files);
+        let connections = sockets - SPARE_SOCKETS.min(sockets / 2);
         // Half of the memory at most is for connections; a quarter of the rest is left for chance.
         let connections = connections.min(free / 2 / CONNECTION_BYTES).max(2);
         let body_bytes = (free.saturating_sub(connections * CONNECTION_BYTES) / 4 * 3).max(LEAST_BODY_BYTES);
