Know within 0.1 s that a client has gone which left much behind its request

A client's end is seen as it comes, but for one case: where 8 KiB and more wait behind its request, nothing wakes the node, and front.rs looked at such connections every 100 ms (`Client::look`), so that with what follows the 0.1 s were over. Now socket.rs looks itself, every 20 ms, in the one place that waits for a client's end.

Tests, in the runtime's own time: a peer's end is known within 0.1 s with 0 bytes to 40 KiB before it, closed or reset; the part for 8 KiB and more fails without the change. In the module: nothing is sent any more for a client that has gone while its request was queued for want of a server, held for probes, or between attempts, where cancelling is allowed and where not.

--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -83,7 +83,6 @@
         let late = begun.is_some_and(|begun| now > begun + READ_TIMEOUT);
         match self.stage.get() {
             Stage::Closing(since) if now > since + LINGER => self.end.notify_one(),
-            Stage::Open if self.socket.has_left() => self.end.notify_one(),
             Stage::Idle(_) if late && self.socket.is_quiet() => self.end.notify_one(),
             Stage::Idle(since) if !late && now > since + IDLE_TIMEOUT => self.close(),
             _ => {}
--- a/src/bin/sillward/socket.rs
+++ b/src/bin/sillward/socket.rs
@@ -8,10 +8,14 @@
 use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
+/// How often a peer that has sent more than is read on ahead is looked after: one that has gone is to be known as
+/// gone well within 0.1 s.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
 /// The most that one read takes in.
 const CHUNK: usize = 8 * 1024;
 
@@ -89,8 +93,10 @@
                 Err(_) => return,
             }
         }
-        // No more can be read on ahead: `has_left` is left to see it.
-        std::future::pending().await
+        // No more can be read on ahead: only the runtime's word for it is left, which wakes nobody.
+        while !self.has_left() {
+            sleep(LOOK_AGAIN).await;
+        }
     }
 
     /// Whether the peer is known to have ended its side, whatever waits to be read before that.
@@ -175,3 +181,7 @@
         Poll::Ready(SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
     }
 }
+
+#[cfg(test)]
+#[path = "socket_tests.rs"]
+mod tests;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -960,3 +960,46 @@
     let held = held_back(&mut world, 800, late);
     assert!(held > 120, "{held} of 200 dear requests were held back");
 }
+
+/// Whatever a request waits for when its client leaves, nothing of it is sent any more.
+#[test]
+fn nothing_is_sent_for_a_client_that_has_gone() {
+    let sends = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Send { .. })).count();
+    // Queued for want of a server, which is listed just then.
+    let mut world = World::new(answering());
+    world.list(ListKind::Full, vec![]);
+    let (queued, _) = world.request(0);
+    world.client_leaves(queued);
+    let before = world.log.len();
+    world.list(ListKind::Full, (0..4).map(entry).collect());
+    world.pass(ms(2000));
+    assert_eq!(sends(&world.log[before..]), 0, "queued");
+
+    // Held for probes, which find an idle server just then.
+    let mut world = World::with_servers(probing(), 4);
+    let (held, actions) = world.request(0);
+    assert!(probed(&actions) > 0 && sends(&actions) == 0);
+    world.client_leaves(held);
+    let before = world.log.len();
+    world.answer_probes(&[0, 1, 2, 3]);
+    world.pass(ms(2000));
+    assert_eq!(sends(&world.log[before..]), 0, "held");
+
+    // With an attempt out that is silent, or ends so that another one may follow: never sent, or in vain.
+    for outcome in [None, Some(Outcome::NotSent), Some(Outcome::ConnectFailed), Some(Outcome::Error)] {
+        for cancel in [true, false] {
+            let mut settings = answering();
+            settings.limits.cancel = cancel;
+            let mut world = World::with_servers(settings, 4);
+            let (waiting, actions) = world.request(0);
+            assert_eq!(sends(&actions), 1);
+            world.client_leaves(waiting);
+            let before = world.log.len();
+            if let Some(outcome) = outcome {
+                world.end(waiting, 0, outcome, None);
+            }
+            world.pass(ms(2000));
+            assert_eq!(sends(&world.log[before..]), 0, "{outcome:?}");
+        }
+    }
+}
