Send cold servers six tenths of what they are allowed, within what they can do

The settings' reason: with N of rule 4, four deviations of chance above 0.74 N stay below N + 2 x root of N + 2 for every N, so 0.6 leaves a fifth for servers that are slower than the usual one; 0.4 left half.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,8 +24,10 @@
 const SILENT: f64 = 4.0;
 /// The least share of requests that servers not crowded at all are sent: a jam clears only when left alone.
 const LEAST_TAKEN: f64 = SMOOTH * SMOOTH;
-/// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind.
-const COLD_SPEND: f64 = 0.4;
+/// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind; and no more
+/// than so many times what a server can do for certain, beyond which it would be crowded for nothing.
+const COLD_SPEND: f64 = 0.6;
+const COLD_LOAD: f64 = 1.6;
 const HEAVY: f64 = 2.0; // nothing of more than so many times the usual work goes to a cold server
 /// What a silent watch misses counts as told 6 s after it fell silent, and most of that passes unnoticed.
 const REOPEN: Duration = Duration::from_millis(500);
@@ -135,7 +137,8 @@
         self.part_at = now;
         let part = self.part;
         for id in cold {
-            let rate = rules.overload_factor * COLD_SPEND * self.warmth(&self.servers[&id]) * part;
+            let rate =
+                (rules.overload_factor * COLD_SPEND).min(COLD_LOAD) * self.warmth(&self.servers[&id]) * part;
             let (chance, span) = (self.random(), rules.overload_time / 2);
             let Some(server) = self.servers.get_mut(&id) else { continue };
             let since = now.saturating_sub(server.drawn).min(span).as_secs_f64();
