--- a/src/policy.rs
+++ b/src/policy.rs
@@ -407,8 +407,10 @@
                 if crowd > 0 {
                     self.in_time[crowd..].iter_mut().for_each(|share| *share -= *share * SMOOTH);
                 }
-                // However few are this node's own: others crowd it as well, or something is wrong with it.
-                self.taken = (self.taken - self.taken * SMOOTH).max(LEAST_TAKEN);
+                // Others crowd it as well, or something is wrong with it; the part that is this node's own crowding
+                // has closed a level.
+                let own = if crowd > 0 { 1.0 / f64::from(self.settings.nodes.max(1)) } else { 0.0 };
+                self.taken = (self.taken - self.taken * SMOOTH * (1.0 - own)).max(LEAST_TAKEN);
             }
             _ => {}
         }
