--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,15 +24,15 @@
 const SILENT: f64 = 4.0;
 /// The least share of requests that servers not crowded at all are sent: a jam clears only when left alone.
 const LEAST_TAKEN: f64 = SMOOTH * SMOOTH;
-/// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind; and no more
-/// than so many times what a server can do for certain, beyond which it would be crowded for nothing.
+/// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind;
+/// and no more than so many times what a server can do for certain, or it would be crowded for nothing.
 const COLD_SPEND: f64 = 0.6;
 const COLD_LOAD: f64 = 1.6;
 const HEAVY: f64 = 2.0; // nothing of more than so many times the usual work goes to a cold server
 /// What a silent watch misses counts as told 6 s after it fell silent, and most of that passes unnoticed.
 const REOPEN: Duration = Duration::from_millis(500);
-/// What a failed call misses counts as told 6 s after discovery can be reached, however long the site lets a node go
-/// without asking. A call that stays silent takes most of that, so this is the longest wait before the next one.
+/// What a failed call misses counts as told 6 s after discovery can be reached, however long the site lets a
+/// node go without asking. A silent call takes most of that, so this is the longest wait before the next one.
 const CALL_AGAIN: Duration = Duration::from_millis(1250);
 /// And so long an answer may be out at the most before discovery is asked again.
 const TOLD_AFTER: Duration = Duration::from_secs(6);
@@ -407,8 +407,8 @@
                 if crowd > 0 {
                     self.in_time[crowd..].iter_mut().for_each(|share| *share -= *share * SMOOTH);
                 }
-                // Others crowd it as well, or something is wrong with it; the part that is this node's own crowding
-                // has closed a level.
+                // Others crowd it as well, or something is wrong with it; the part that is this node's own
+                // crowding has closed a level.
                 let own = if crowd > 0 { 1.0 / f64::from(self.settings.nodes.max(1)) } else { 0.0 };
                 self.taken = (self.taken - self.taken * SMOOTH * (1.0 - own)).max(LEAST_TAKEN);
             }
