--- a/src/policy.rs
+++ b/src/policy.rs
@@ -400,8 +400,7 @@
                 self.in_time[..=crowd].iter_mut().for_each(|share| *share += (1.0 - *share) * SMOOTH);
                 let next = &mut self.in_time[(crowd + 1).min(LEVELS - 1)];
                 *next += (1.0 - *next) * SMOOTH / 2.0;
-                // In proportion, or else a small share would stand where most are late.
-                self.taken = (self.taken + SMOOTH * 2.0 / 7.0 * self.taken.clamp(0.5, 1.0)).min(2.0);
+                self.taken = (self.taken + SMOOTH * 2.0 / 7.0).min(2.0);
             }
             _ if late || matches!(end.outcome, Outcome::Served | Outcome::Rejected) => {
                 if crowd > 0 {
