--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -916,3 +916,90 @@
     });
     assert!(held > 200, "{held} of 400");
 }
+
+#[test]
+fn what_is_late_at_a_server_that_the_node_crowds_itself_holds_requests_back_too() {
+    // The danger: of hundreds of nodes each has one or two requests at a server, which is in a jam by then.
+    let mut settings = answering();
+    settings.limits.parallel_attempts = false;
+    let mut world = World::with_servers(settings, 1);
+    let held = held_back(&mut world, 400, |world, n| {
+        let (first, actions) = world.request(1);
+        world.request(1);
+        world.pass(ms(50));
+        let answer = |world: &mut World, ready: &dyn Fn(RequestId) -> bool| {
+            for (id, attempt) in world.out().into_iter().filter(|(id, _)| ready(*id)) {
+                world.end(id, attempt, Outcome::Served, Some(1.0));
+            }
+        };
+        // Alone, so few late ones would hold nothing back.
+        answer(world, &|id| id == first && n % 5 > 0);
+        world.pass(ms(340));
+        answer(world, &|_| true);
+        actions
+    });
+    assert!(held > 50, "{held} of 400");
+}
+
+#[test]
+fn in_a_jam_dear_requests_are_held_back_as_well() {
+    // The danger: what is worth most is tried so often, by all nodes, that the servers never get out of the jam.
+    let mut settings = answering();
+    settings.limits.parallel_attempts = false;
+    (settings.classes[0].worth, settings.classes[1].worth) = (12.0, 1.0);
+    let mut world = World::with_servers(settings, 4);
+    let late = |world: &mut World, n: usize| {
+        let (_, actions) = world.request(usize::from(n % 4 > 0));
+        world.pass(ms(390));
+        for (id, attempt) in world.out() {
+            world.end(id, attempt, Outcome::Served, Some(3.0));
+        }
+        if n % 4 == 0 { actions } else { Vec::new() }
+    };
+    held_back(&mut world, 400, late);
+    let held = held_back(&mut world, 800, late);
+    assert!(held > 120, "{held} of 200 dear requests were held back");
+}
+
+/// Whatever a request waits for when its client leaves, nothing of it is sent any more.
+#[test]
+fn nothing_is_sent_for_a_client_that_has_gone() {
+    let sends = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Send { .. })).count();
+    // Queued for want of a server, which is listed just then.
+    let mut world = World::new(answering());
+    world.list(ListKind::Full, vec![]);
+    let (queued, _) = world.request(0);
+    world.client_leaves(queued);
+    let before = world.log.len();
+    world.list(ListKind::Full, (0..4).map(entry).collect());
+    world.pass(ms(2000));
+    assert_eq!(sends(&world.log[before..]), 0, "queued");
+
+    // Held for probes, which find an idle server just then.
+    let mut world = World::with_servers(probing(), 4);
+    let (held, actions) = world.request(0);
+    assert!(probed(&actions) > 0 && sends(&actions) == 0);
+    world.client_leaves(held);
+    let before = world.log.len();
+    world.answer_probes(&[0, 1, 2, 3]);
+    world.pass(ms(2000));
+    assert_eq!(sends(&world.log[before..]), 0, "held");
+
+    // With an attempt out that is silent, or ends so that another one may follow: never sent, or in vain.
+    for outcome in [None, Some(Outcome::NotSent), Some(Outcome::ConnectFailed), Some(Outcome::Error)] {
+        for cancel in [true, false] {
+            let mut settings = answering();
+            settings.limits.cancel = cancel;
+            let mut world = World::with_servers(settings, 4);
+            let (waiting, actions) = world.request(0);
+            assert_eq!(sends(&actions), 1);
+            world.client_leaves(waiting);
+            let before = world.log.len();
+            if let Some(outcome) = outcome {
+                world.end(waiting, 0, outcome, None);
+            }
+            world.pass(ms(2000));
+            assert_eq!(sends(&world.log[before..]), 0, "{outcome:?}");
+        }
+    }
+}
