Let a request leave the node's table as soon as it is finished

Its table of requests grew without end, 3,059 entries at 1,080 s, while the decision module held 13 at the most. Only the events of a request's own path were followed by `forget`: a final answer given on a timer or on a probe's result reached `finish`, which answered and stopped there, and the deadline's timer returned before `forget`. Such a request stayed for good, with its body's part of the memory budget.

Change: `RequestTable` (src/bin/sillward/in_flight.rs) owns requests and timers. Only it gives answers and notes the ends of attempts, and each of these goes through `remove_if_finished`, whatever event led there. A body leaves with the final answer; an attempt that is being written keeps its own copy.

What bounds the other tables: timers belong to a request and leave with it, but for one housekeeping timer; pool places and the module's servers leave with the list; waiting lists hold no more than attempts under way; held requests and attempts belong to requests; open ids end with their connection's response, and connections are limited; patience, allowances and usual times have a place for each class or tenant in the settings, levels of crowding 64. Queues between parts (4096, 16, 256) are bounded by their channels.

Tests: src/bin/sillward/node_tests.rs, on the real node in virtual time. One plays 200,000 requests of all endings, and table, timers, budget, pool and module are as before them.

--- a/src/bin/sillward/backend.rs
+++ b/src/bin/sillward/backend.rs
@@ -4,7 +4,7 @@
 use crate::config::Config;
 use crate::log::log_peer;
 use crate::memory::Budget;
-use crate::node::Forward;
+use crate::node::{Forward, Stop};
 use crate::pool::{Connection, Pool};
 use bytes::Bytes;
 use hillpick::settings::Column;
@@ -38,12 +38,6 @@
     pub forward: Rc<Forward>,
 }
 
-/// Why an attempt is stopped.
-pub enum Stop {
-    TimedOut,
-    Cancelled,
-}
-
 /// How an attempt ended; with the body if it was served.
 pub struct Ended {
     pub id: RequestId,
@@ -133,11 +127,12 @@
         let address = self.pool.destination(connection)?;
         let forgotten =
             forward.window.zip(forward.first_byte.get()).is_some_and(|(w, first)| now >= first + w);
-        if forward.over.get() || now >= attempt.until || forgotten {
+        if now >= attempt.until || forgotten {
             return None;
         }
+        let body = forward.body()?;
         let left = (attempt.until - now).as_millis().max(1) as u64;
-        let mut request = Request::new(Full::new(forward.body.clone()));
+        let mut request = Request::new(Full::new(body));
         *request.method_mut() = forward.method.clone();
         *request.uri_mut() = forward.path.clone().into();
         let headers = request.headers_mut();
@@ -264,6 +259,7 @@
     use crate::discovery::Backend;
     use crate::pool::tests::{CONFIG, SERVER, with_pool};
     use hillpick::{ListKind, ServerState};
+    use std::cell::RefCell;
     use tokio::io::AsyncReadExt;
     use tokio::task::spawn_local;
 
@@ -279,11 +275,10 @@
                 path: hyper::http::uri::PathAndQuery::from_static("/submit/1"),
                 call_id: HeaderValue::from_static("1"),
                 idempotency_key: None,
-                body: Bytes::new(),
+                body: RefCell::new(Some(Bytes::new())),
                 deadline: now + MINUTE,
                 window: Some(MINUTE),
                 first_byte: Cell::new(None),
-                over: Cell::new(false),
             };
             let (until, forward) = (now + MINUTE, Rc::new(forward));
             let mut attempt = Attempt { id: RequestId(1), number: 0, server: SERVER, until, forward };
@@ -313,7 +308,7 @@
         let nothing = || (Outcome::NotSent, String::new());
         let late = overtaken(|_, attempt, _, now| attempt.until = now);
         assert_eq!(late, nothing(), "its time is over");
-        let over = overtaken(|_, attempt, _, _| attempt.forward.over.set(true));
+        let over = overtaken(|_, attempt, _, _| attempt.forward.close());
         assert_eq!(over, nothing(), "the request has its answer");
         let forgotten =
             overtaken(|_, attempt, _, now| attempt.forward.first_byte.set(Some(now - 2 * MINUTE)));
--- a/src/bin/sillward/discovery_tests.rs
+++ b/src/bin/sillward/discovery_tests.rs
@@ -92,13 +92,13 @@
         socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
         let config = config(socket.local_addr().expect("its address"), mode, ask_within, seed);
         let clock = Clock::start();
-        let (messages, inbox) = mpsc::channel(64);
+        let (messages, mut inbox) = mpsc::channel(64);
         let (orders, discovery_orders) = mpsc::channel(16);
         let (_moves, moved) = watch::channel(config.discovery);
         let pool = Pool::start(clock, &config, REST);
         let backends = Backends::new(clock, &config, Budget::new(1 << 20), pool);
-        let node = Node::new(clock, &config, backends, messages.clone(), orders);
-        let node = spawn_local(node.run(inbox));
+        let mut node = Node::new(clock, &config, backends, messages.clone(), orders);
+        let node = spawn_local(async move { node.run(&mut inbox).await });
         // The first call is not after a failed one: the failure lasts for so long from there.
         let first = Duration::from_secs(1)
             + if mode == "ask" { millis(ask_within as f64) / 4 } else { Duration::ZERO };
--- a/src/bin/sillward/front.rs
+++ b/src/bin/sillward/front.rs
@@ -370,11 +370,10 @@
             path: request.path,
             call_id: request.call_id.clone(),
             idempotency_key: request.idempotency_key,
-            body,
+            body: RefCell::new(Some(body)),
             deadline: at + request.budget,
             window: request.window,
             first_byte: Cell::new(None),
-            over: Cell::new(false),
         };
         let (reply, answer) = oneshot::channel();
         // The place for the news that the client has left is kept now: a drop can't wait for one.
--- a/src/bin/sillward/main.rs
+++ b/src/bin/sillward/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod discovery;
 mod front;
+mod in_flight;
 mod lists;
 mod log;
 mod memory;
@@ -73,7 +74,7 @@
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
 
     let clock = Clock::start();
-    let (messages, inbox) = mpsc::channel(MESSAGES);
+    let (messages, mut inbox) = mpsc::channel(MESSAGES);
     let (orders, discovery_orders) = mpsc::channel(16);
     let (moves, moved) = watch::channel(config.discovery);
     let budget = memory::Budget::new(config.body_bytes);
@@ -81,9 +82,9 @@
     let backends = backend::Backends::new(clock, &config, budget.clone(), pool);
     let discovery = discovery::Discovery::new(&config, messages.clone());
     let ready = discovery.ready();
-    let node = node::Node::new(clock, &config, backends, messages.clone(), orders);
+    let mut node = node::Node::new(clock, &config, backends, messages.clone(), orders);
     let front = front::Front::new(clock, &config, budget, messages, ready);
-    let mut node = tokio::task::spawn_local(node.run(inbox));
+    let mut node = tokio::task::spawn_local(async move { node.run(&mut inbox).await });
     let mut discovery = tokio::task::spawn_local(discovery.run(discovery_orders, moved));
     tokio::task::spawn_local(reload(hang_up, config.clone(), moves));
     let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
--- a/src/bin/sillward/memory.rs
+++ b/src/bin/sillward/memory.rs
@@ -24,6 +24,12 @@
         let taken = self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(bytes));
         taken.ok().map(|_| Lease { budget: self.clone(), bytes })
     }
+
+    /// How many bytes may still be leased.
+    #[cfg(test)]
+    pub fn free(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
 }
 
 impl Lease {
--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -2,17 +2,18 @@
 //! it decides nothing. Its request table alone gives final answers, and gives each exactly once.
 
 use crate::Clock;
-use crate::backend::{Attempt, Backends, Ended, ProbeEnded, Stop};
+use crate::backend::{Attempt, Backends, Ended, ProbeEnded};
 use crate::config::Config;
 use crate::discovery::{News, Order};
+use crate::in_flight::{Due, NewAttempt, RequestTable};
 use crate::log::{log, log_peer};
 use bytes::Bytes;
 use hillpick::*;
 use hyper::Method;
 use hyper::header::HeaderValue;
 use hyper::http::uri::PathAndQuery;
-use std::cell::Cell;
-use std::collections::{BTreeMap, VecDeque};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -54,50 +55,33 @@
     pub path: PathAndQuery,
     pub call_id: HeaderValue,
     pub idempotency_key: Option<HeaderValue>,
-    pub body: Bytes,
+    /// `None` once nothing more is sent.
+    pub body: RefCell<Option<Bytes>>,
     /// When the client stops waiting.
     pub deadline: Duration,
     /// How long backends remember a keyed request, from the first byte of the first attempt.
     pub window: Option<Duration>,
     pub first_byte: Cell<Option<Duration>>,
-    /// It has its final answer, or its client has left: nothing more is sent for it.
-    pub over: Cell<bool>,
 }
 
-struct Held {
-    forward: Rc<Forward>,
-    /// The way to the client, until the final answer has gone there.
-    reply: Option<oneshot::Sender<Answer>>,
-    /// In the order of Send; an attempt's number is its place.
-    attempts: Vec<Out>,
-    /// Its timers, which go with it: a client may say that it waits for as long as it likes.
-    timers: Vec<TimerId>,
-}
-
-struct Out {
-    server: ServerId,
-    sent: Duration,
-    /// The way to stop it, until it has ended.
-    stop: Option<oneshot::Sender<Stop>>,
-    ended: bool,
-}
+impl Forward {
+    /// The body to be sent, unless the request has its final answer or its client has left: then nothing more
+    /// is sent for it.
+    pub fn body(&self) -> Option<Bytes> {
+        self.body.borrow().clone()
+    }
 
-impl Held {
-    /// The one place where a final answer leaves. False if there has been one.
-    fn answer(&mut self, answer: Answer) -> bool {
-        self.forward.over.set(true);
-        // An error means that the client has just left: then no answer is owed.
-        self.reply.take().map(|reply| reply.send(answer)).is_some()
+    /// Nothing more is sent for the request. Its body gives its part of the memory budget back as soon as what
+    /// is being written now has gone.
+    pub fn close(&self) {
+        self.body.replace(None);
     }
 }
 
-/// When a timer is due, and its number: those due together fire in the order of setting.
-type TimerId = (Duration, u64);
-
-enum Due {
-    Module(u64),
-    Attempt(RequestId, u32),
-    Deadline(RequestId),
+/// Why an attempt is stopped.
+pub enum Stop {
+    TimedOut,
+    Cancelled,
 }
 
 pub struct Node {
@@ -108,9 +92,7 @@
     discovery: mpsc::Sender<Order>,
     tick: Duration,
     max_attempts: usize,
-    held: BTreeMap<RequestId, Held>,
-    timers: BTreeMap<TimerId, Due>,
-    timers_set: u64,
+    requests: RequestTable,
 }
 
 impl Node {
@@ -130,15 +112,13 @@
             tick: settings.tick,
             max_attempts: settings.limits.max_attempts.max(1) as usize,
             balancer: Balancer::new(settings, config.seed),
-            held: BTreeMap::new(),
-            timers: BTreeMap::new(),
-            timers_set: 0,
+            requests: RequestTable::default(),
         }
     }
 
-    pub async fn run(mut self, mut inbox: mpsc::Receiver<Message>) {
+    pub async fn run(&mut self, inbox: &mut mpsc::Receiver<Message>) {
         loop {
-            let due = self.timers.first_key_value().map(|((at, _), _)| *at);
+            let due = self.requests.next_due();
             let wait = sleep_until(self.clock.instant(due.unwrap_or_default()));
             tokio::select! {
                 message = inbox.recv() => match message {
@@ -151,25 +131,12 @@
         }
     }
 
-    fn set(&mut self, at: Duration, due: Due) {
-        let of = match due {
-            Due::Module(token) => RequestId(token), // or the module's own, which is no request's
-            Due::Attempt(id, _) | Due::Deadline(id) => id,
-        };
-        self.timers_set += 1;
-        let timer = (at, self.timers_set);
-        if let Some(held) = self.held.get_mut(&of) {
-            held.timers.push(timer);
-        }
-        self.timers.insert(timer, due);
-    }
-
     fn fire(&mut self) {
         let now = self.clock.now();
-        while let Some(timer) = self.timers.first_entry().filter(|timer| timer.key().0 <= now) {
-            match timer.remove() {
-                Due::Module(token) => self.decide(Event::Timer { token }),
-                Due::Attempt(id, number) => self.stop(id, number, Stop::TimedOut),
+        while let Some(due) = self.requests.pop_due(now) {
+            match due {
+                Due::Balancer(token) => self.decide(Event::Timer { token }),
+                Due::Attempt(id, number) => self.requests.stop_attempt(id, number, Stop::TimedOut),
                 Due::Deadline(id) => self.overdue(id),
             }
         }
@@ -179,11 +146,9 @@
         match message {
             Message::Request(taken) => self.on_request(taken),
             Message::ClientGone(id) => {
-                let Some(held) = self.held.get_mut(&id).filter(|held| held.reply.is_some()) else { return };
-                held.reply = None;
-                held.forward.over.set(true);
-                self.decide(Event::ClientGone { id });
-                self.forget(id);
+                if self.requests.abandon(id) {
+                    self.decide(Event::ClientGone { id });
+                }
             }
             Message::Attempt(ended) => self.on_attempt(ended),
             Message::Probe(ProbeEnded { server, outcome, sent, report }) => {
@@ -191,8 +156,9 @@
                 self.decide(Event::Probed(ProbeEnd { server, outcome, elapsed, report }));
             }
             Message::End => {
-                let ids: Vec<_> = self.held.keys().copied().collect();
-                ids.into_iter().for_each(|id| self.overdue(id));
+                for id in self.requests.unanswered() {
+                    self.overdue(id);
+                }
             }
             Message::List(news) => {
                 self.backends.pool.update(news.kind, &news.backends);
@@ -207,53 +173,32 @@
         let (id, deadline) = (new.id, forward.deadline);
         let waited = self.clock.now().saturating_sub(at);
         new.remaining = new.remaining.saturating_sub(waited);
-        let (attempts, timers) = (Vec::new(), Vec::new());
-        self.held.insert(id, Held { forward: Rc::new(forward), reply: Some(reply), attempts, timers });
+        self.requests.insert(id, forward, reply);
         // A tick early: the answer is to be with the client before it gives up.
-        self.set(deadline.saturating_sub(self.tick), Due::Deadline(id));
+        self.requests.set_timer(deadline.saturating_sub(self.tick), Due::Deadline(id));
         self.decide(Event::Request(new));
-        self.forget(id);
     }
 
     fn on_attempt(&mut self, ended: Ended) {
-        let Some(held) = self.held.get_mut(&ended.id) else { return };
-        let Some(out) = held.attempts.get_mut(ended.number as usize) else { return };
-        (out.ended, out.stop) = (true, None);
-        let (server, sent) = (out.server, out.sent);
+        let Some(attempt) = self.requests.attempt_ended(ended.id, ended.number) else { return };
         // The first served answer is the client's; a later one only informs the module.
-        if let Some(body) = ended.body {
-            held.answer(Answer::Served(body));
-        }
-        let finished = held.reply.is_none();
+        let served = ended.body.is_some_and(|body| self.requests.answer(ended.id, Answer::Served(body)));
         self.decide(Event::AttemptEnded(AttemptEnd {
             id: ended.id,
             attempt: ended.number,
-            server,
+            server: attempt.server,
             outcome: ended.outcome,
-            elapsed: self.clock.now().saturating_sub(sent),
-            finished,
+            elapsed: self.clock.now().saturating_sub(attempt.sent),
+            finished: attempt.answered || served,
             report: ended.report,
         }));
-        self.forget(ended.id);
     }
 
     /// Whatever the module does, nobody is left without an answer at the deadline.
     fn overdue(&mut self, id: RequestId) {
-        let Some(held) = self.held.get_mut(&id).filter(|held| held.reply.is_some()) else { return };
-        log_peer(format_args!("request {} was unanswered when its time was up: failed", id.0));
-        held.answer(Answer::TimedOut);
-        self.decide(Event::ClientGone { id });
-        self.forget(id);
-    }
-
-    /// Drops a request that has its answer and no attempt out.
-    fn forget(&mut self, id: RequestId) {
-        let over = |held: &Held| held.reply.is_none() && held.attempts.iter().all(|out| out.ended);
-        if !self.held.get(&id).is_some_and(over) {
-            return;
-        }
-        for timer in self.held.remove(&id).map(|held| held.timers).unwrap_or_default() {
-            self.timers.remove(&timer);
+        if self.requests.answer(id, Answer::TimedOut) {
+            log_peer(format_args!("request {} was unanswered when its time was up: failed", id.0));
+            self.decide(Event::ClientGone { id });
         }
     }
 
@@ -275,10 +220,16 @@
     fn act(&mut self, action: Action) -> Option<Event> {
         match action {
             Action::Send { id, server, timeout } => return self.send(id, server, timeout),
-            Action::Refuse { id, retry_after } => self.finish(id, Answer::Refused(retry_after)),
-            Action::Fail { id } => self.finish(id, Answer::Failed),
-            Action::Cancel { id, attempt } => self.stop(id, attempt, Stop::Cancelled),
-            Action::SetTimer { after, token } => self.set(self.clock.now() + after, Due::Module(token)),
+            Action::Refuse { id, retry_after } => {
+                drop(self.requests.answer(id, Answer::Refused(retry_after)))
+            }
+            Action::Fail { id } => {
+                self.requests.answer(id, Answer::Failed);
+            }
+            Action::Cancel { id, attempt } => self.requests.stop_attempt(id, attempt, Stop::Cancelled),
+            Action::SetTimer { after, token } => {
+                self.requests.set_timer(self.clock.now() + after, Due::Balancer(token));
+            }
             Action::Probe { server } => self.probe(server),
             Action::CloseIdle { server } => self.backends.pool.close_idle(server),
             Action::Subscribe { on } => self.order(Order::Subscribe(on)),
@@ -292,26 +243,26 @@
 
     fn send(&mut self, id: RequestId, server: ServerId, timeout: Duration) -> Option<Event> {
         let now = self.clock.now();
-        let held = self.held.get_mut(&id)?;
-        let (number, finished) = (held.attempts.len() as u32, held.reply.is_none());
-        let deadline = held.forward.deadline;
-        if finished || now >= deadline || held.attempts.len() >= self.max_attempts {
-            held.attempts.push(Out { server, sent: now, stop: None, ended: true });
-            return Some(Event::AttemptEnded(AttemptEnd {
-                id,
-                attempt: number,
-                server,
-                outcome: Outcome::NotSent,
-                elapsed: Duration::ZERO,
-                finished,
-                report: None,
-            }));
-        }
+        let (number, forward) = match self.requests.new_attempt(id, server, now, self.max_attempts)? {
+            NewAttempt::Permitted { number, forward } => (number, forward),
+            NewAttempt::Refused { number, answered } => {
+                return Some(Event::AttemptEnded(AttemptEnd {
+                    id,
+                    attempt: number,
+                    server,
+                    outcome: Outcome::NotSent,
+                    elapsed: Duration::ZERO,
+                    finished: answered,
+                    report: None,
+                }));
+            }
+        };
+        let deadline = forward.deadline;
         let until = if timeout.is_zero() { deadline } else { deadline.min(now + timeout) };
         let (stop, stopped) = oneshot::channel();
-        let attempt = Attempt { id, number, server, until, forward: held.forward.clone() };
-        held.attempts.push(Out { server, sent: now, stop: Some(stop), ended: false });
-        self.set(until, Due::Attempt(id, number));
+        self.requests.attempt_started(id, server, now, stop);
+        self.requests.set_timer(until, Due::Attempt(id, number));
+        let attempt = Attempt { id, number, server, until, forward };
         let (backends, messages) = (self.backends.clone(), self.messages.clone());
         spawn_local(async move {
             let ended = backends.attempt(attempt, stopped).await;
@@ -328,22 +279,13 @@
         });
     }
 
-    fn finish(&mut self, id: RequestId, answer: Answer) {
-        if let Some(held) = self.held.get_mut(&id) {
-            held.answer(answer);
-        }
-    }
-
-    fn stop(&mut self, id: RequestId, number: u32, why: Stop) {
-        let out = self.held.get_mut(&id).and_then(|held| held.attempts.get_mut(number as usize));
-        if let Some(stop) = out.and_then(|out| out.stop.take()) {
-            let _ = stop.send(why); // it may have ended just now; then that outcome is on its way
-        }
-    }
-
     fn order(&mut self, order: Order) {
         if self.discovery.try_send(order).is_err() {
             log("discovery has too much to do: a call was dropped");
         }
     }
 }
+
+#[cfg(test)]
+#[path = "node_tests.rs"]
+mod tests;
--- a/src/bin/sillward/pool.rs
+++ b/src/bin/sillward/pool.rs
@@ -204,6 +204,14 @@
         (&mut waiter.deliver).await.unwrap_or(Err(Outcome::NotSent))
     }
 
+    /// How many places it has, connections that are open, and attempts that wait for one.
+    #[cfg(test)]
+    pub fn usage(&self) -> (usize, usize, usize) {
+        let places = self.places.borrow();
+        let waiting = places.values().map(|place| place.waiting.len()).sum();
+        (places.len(), self.open.get(), waiting)
+    }
+
     fn close_longest_idle(&self) -> bool {
         let mut places = self.places.borrow_mut();
         let oldest = places.values_mut().filter(|place| !place.idle.is_empty());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,7 @@
 mod state;
 
 pub use interface::*;
-pub use policy::Balancer;
+pub use policy::{Balancer, TableSizes};
 
 /// The README's example, compiled as a test.
 #[cfg(doctest)]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,8 +4,8 @@
 mod probing;
 
 use crate::interface::*;
-pub use crate::state::Balancer;
 use crate::state::{Attempt, Rate, Request, Server};
+pub use crate::state::{Balancer, TableSizes};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use std::time::Duration;
--- a/src/state.rs
+++ b/src/state.rs
@@ -154,7 +154,23 @@
     pub(crate) ask_wait: Duration,
 }
 
+/// How many entries the tables of a [`Balancer`] hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TableSizes {
+    /// Listed servers.
+    pub servers: usize,
+    /// Requests that are owed an answer or have an attempt out.
+    pub requests: usize,
+    /// Those of them that are held until a probe has been answered.
+    pub held: usize,
+}
+
 impl Balancer {
+    /// How many entries its tables hold. Servers leave with the list, requests with their last outcome.
+    pub fn table_sizes(&self) -> TableSizes {
+        TableSizes { servers: self.servers.len(), requests: self.requests.len(), held: self.held.len() }
+    }
+
     /// Nothing known yet.
     pub(crate) fn empty(settings: Settings, rng: Pcg32) -> Self {
         Balancer {
