--- a/src/bin/sillward/node.rs
+++ b/src/bin/sillward/node.rs
@@ -221,7 +221,7 @@
         match action {
             Action::Send { id, server, timeout } => return self.send(id, server, timeout),
             Action::Refuse { id, retry_after } => {
-                drop(self.requests.answer(id, Answer::Refused(retry_after)))
+                self.requests.answer(id, Answer::Refused(retry_after));
             }
             Action::Fail { id } => {
                 self.requests.answer(id, Answer::Failed);
