Record the actions of fixed seeds, before the code is reshaped

A digest of every action, in order, with its node and time: fleets of 1 and of 12 nodes, two seeds each, on five kinds of site (lists pushed and asked for; loads told by probes, with answers and not at all; one attempt at a time without cancels), with all classes, two tenants, faults of servers, of discovery and of clients, replaced servers that start cold and nodes that restart.

--- /dev/null
+++ b/tests/action_digest.rs
@@ -0,0 +1,118 @@
+//! The decisions of fixed seeds, action by action: a change of the code that is to leave behaviour as it is leaves
+//! every digest as it is. A change of behaviour changes some, and its commit says why.
+
+mod world;
+
+use hillpick::*;
+use world::fleet::Fleet;
+use world::{answering, ms, probing, settings};
+
+const SEEDS: [u64; 2] = [1, 2];
+
+/// The settings of one kind of site, with cold servers and two tenants.
+fn site(base: Settings, nodes_see_prices: bool) -> Settings {
+    let mut settings = base;
+    settings.rules.cold_share = 0.3;
+    settings.rules.warm_after = ms(8_500);
+    settings.rules.overload_factor = 4.0;
+    settings.tenants =
+        vec![Tenant { allowance_per_s: 100.0, share: 0.5 }, Tenant { allowance_per_s: 10.0, share: 0.1 }];
+    settings.over_share_worth = 0.1;
+    settings.goal.worst_class = 0.1;
+    settings.limits.max_retry_after = Some(ms(2_000));
+    if nodes_see_prices {
+        settings.prices.connections = 0.2;
+        settings.worth_by_work = true;
+    }
+    settings
+}
+
+/// Twenty seconds with a rolling replacement of servers, and all nodes restarted meanwhile.
+fn play(settings: &Settings, nodes: u32, seed: u64) -> (usize, String) {
+    let mut fleet = Fleet::with_faults(settings, nodes, 24, 25.0, 400.0, seed);
+    fleet.pass(ms(5_000));
+    fleet.replace(0..6, 24..30);
+    fleet.restart_all(ms(4_000));
+    fleet.pass(ms(5_000));
+    fleet.replace(6..12, 30..36);
+    fleet.pass(ms(10_000));
+    fleet.digest()
+}
+
+/// What fleets of one and of twelve nodes do with these settings, for each seed.
+fn digests(settings: &Settings) -> Vec<String> {
+    let fleets = [1, 12].into_iter().flat_map(|nodes| SEEDS.map(|seed| (nodes, seed)));
+    let played = fleets.map(|(nodes, seed)| play(settings, nodes, seed));
+    played.map(|(actions, digest)| format!("{actions} actions, {digest}")).collect()
+}
+
+#[test]
+fn lists_pushed_and_loads_told_by_probes() {
+    assert_eq!(
+        digests(&site(probing(), true)),
+        [
+            "36039 actions, b0e2ae34ee9de69b",
+            "36896 actions, e9c709e0598e6416",
+            "52139 actions, ced7b6e78462c183",
+            "53950 actions, 1aeba97f97cc9164"
+        ]
+    );
+}
+
+#[test]
+fn lists_asked_for_and_loads_told_by_probes() {
+    let settings = Settings { list_on_request: true, ..site(probing(), false) };
+    assert_eq!(
+        digests(&settings),
+        [
+            "39216 actions, b036bf0539e3ede6",
+            "36347 actions, ebb8c0b44d1b4cf0",
+            "65616 actions, 6c503d12bb25a947",
+            "64079 actions, 6fc45fad2a113d3c"
+        ]
+    );
+}
+
+#[test]
+fn lists_pushed_and_loads_told_with_answers() {
+    assert_eq!(
+        digests(&site(answering(), true)),
+        [
+            "19134 actions, 3a9d50339ec2a44c",
+            "19643 actions, 1239bc3f56480273",
+            "19851 actions, 5dad9159df2efef2",
+            "20700 actions, def5253e64934fd3"
+        ]
+    );
+}
+
+#[test]
+fn lists_asked_for_and_no_loads_told() {
+    let settings = Settings { list_on_request: true, ..site(settings(), false) };
+    assert_eq!(
+        digests(&settings),
+        [
+            "18710 actions, 7a6658f0f613b239",
+            "18545 actions, 7a74fcb4683dbfbe",
+            "22027 actions, a199f252c2be47ff",
+            "21850 actions, de7a6689083fe562"
+        ]
+    );
+}
+
+#[test]
+fn one_attempt_at_a_time_that_is_never_called_off() {
+    let mut settings = site(answering(), false);
+    settings.limits.parallel_attempts = false;
+    settings.limits.cancel = false;
+    settings.classes.iter_mut().for_each(|class| class.late_worth = 0.3);
+    assert_eq!(
+        digests(&settings),
+        [
+            "16426 actions, add8ef74c6a1b41e",
+            "16564 actions, a61eb40ec7c0f5a3",
+            "16975 actions, e8162106a7c7b60d",
+            "17001 actions, 54c1db60237d6cf2"
+        ]
+    );
+}
--- a/tests/world/fleet.rs
+++ b/tests/world/fleet.rs
@@ -4,6 +4,7 @@
 use hillpick::*;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
+use sha2::{Digest, Sha256};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
@@ -37,6 +38,9 @@
     Timer(u64),
     End { id: RequestId, attempt: usize, outcome: Outcome, sent: Duration },
     Restart,
+    Probed { server: ServerId, sent: Duration },
+    List { failed: bool },
+    ClientGone(RequestId),
 }
 
 pub struct Fleet {
@@ -52,9 +56,52 @@
     rng: Pcg32,
     pub asked: usize,
     pub served: usize,
+    /// Servers, discovery and clients misbehave, requests are of all classes and tenants, and probes are answered.
+    faults: bool,
+    /// Every action so far, in order.
+    digest: Sha256,
+    actions: usize,
 }
 
 impl Fleet {
+    /// As `new`, with faults of servers, discovery and clients.
+    pub fn with_faults(
+        settings: &Settings,
+        nodes: u32,
+        servers: u64,
+        capacity: f64,
+        rate: f64,
+        seed: u64,
+    ) -> Self {
+        let mut fleet = Fleet::new(settings, nodes, servers, capacity, rate, seed);
+        fleet.faults = true;
+        fleet
+    }
+
+    /// How many actions there were, and a digest of them all, with their nodes and times in microseconds.
+    pub fn digest(&self) -> (usize, String) {
+        let digest = self.digest.clone().finalize();
+        (self.actions, digest.iter().take(8).map(|byte| format!("{byte:02x}")).collect())
+    }
+
+    fn note(&mut self, node: usize, action: &Action) {
+        let micros = |time: &Duration| time.as_micros() as u64;
+        let numbers: [u64; 4] = match action {
+            Action::Send { id, server, timeout } => [1, id.0, server.0, micros(timeout)],
+            Action::Refuse { id, retry_after } => [2, id.0, retry_after.as_ref().map_or(0, micros), 0],
+            Action::Fail { id } => [3, id.0, 0, 0],
+            Action::Cancel { id, attempt } => [4, id.0, u64::from(*attempt), 0],
+            Action::SetTimer { after, token } => [5, micros(after), *token, 0],
+            Action::Probe { server } => [6, server.0, 0, 0],
+            Action::Subscribe { on } => [7, u64::from(*on), 0, 0],
+            other => panic!("unexpected {other:?}"),
+        };
+        self.actions += 1;
+        self.digest.update(micros(&self.now).to_be_bytes());
+        self.digest.update((node as u64).to_be_bytes());
+        numbers.iter().for_each(|number| self.digest.update(number.to_be_bytes()));
+    }
+
     /// So many nodes, warm servers and requests a second in all. Some nodes see several times the mean.
     pub fn new(settings: &Settings, nodes: u32, servers: u64, capacity: f64, rate: f64, seed: u64) -> Self {
         let mut fleet = Fleet {
@@ -69,6 +116,9 @@
             rng: Pcg32::seed_from_u64(seed),
             asked: 0,
             served: 0,
+            faults: false,
+            digest: Sha256::new(),
+            actions: 0,
         };
         let weights: Vec<f64> = (0..nodes).map(|n| if n % 10 == 9 { 4.0 } else { 1.0 }).collect();
         let total: f64 = weights.iter().sum();
@@ -160,6 +210,12 @@
                 _ if run != self.nodes[node].run => {}
                 Due::Timer(token) => self.tell(node, Event::Timer { token }),
                 Due::End { id, attempt, outcome, sent } => self.end(node, id, attempt, outcome, sent),
+                Due::Probed { server, sent } => self.probed(node, server, sent),
+                Due::List { failed: true } => {
+                    self.tell(node, Event::List { kind: ListKind::Failed, entries: Vec::new() });
+                }
+                Due::List { failed: false } => self.tell_all(node),
+                Due::ClientGone(id) => self.tell(node, Event::ClientGone { id }),
             }
         }
         self.now = until;
@@ -170,7 +226,54 @@
         let id = RequestId(self.asked as u64);
         self.nodes[node].tries.insert(id, Vec::new());
         let remaining = self.settings.classes[0].deadline;
-        self.tell(node, Event::Request(NewRequest { id, remaining, ..NewRequest::default() }));
+        let mut new = NewRequest { id, remaining, ..NewRequest::default() };
+        if self.faults {
+            self.vary(&mut new);
+        }
+        self.tell(node, Event::Request(new));
+        if self.faults && self.chance() < 0.05 {
+            let after = Duration::from_secs_f64(self.chance() / 10.0);
+            let run = self.nodes[node].run;
+            self.set(self.now + after, node, run, Due::ClientGone(id));
+        }
+    }
+
+    /// Makes a request one of any class and tenant, perhaps a repeat, perhaps with a hint of its cost.
+    fn vary(&mut self, new: &mut NewRequest) {
+        new.class = (self.chance() * self.settings.classes.len() as f64) as usize;
+        new.tenant = (self.chance() * self.settings.tenants.len() as f64) as usize;
+        new.client_retry = self.chance() < 0.2;
+        let part = if new.client_retry { 0.2 + self.chance() * 0.8 } else { 1.0 };
+        new.remaining = self.settings.classes[new.class].deadline.mul_f64(part);
+        let cost = Duration::from_secs_f64(self.exponential() / self.capacity);
+        new.cost = (self.chance() < 0.7).then_some(cost);
+    }
+
+    /// What goes wrong with an attempt at a server, and when.
+    fn fault(&mut self, to: ServerId) -> Option<(Duration, Outcome)> {
+        let soon = Duration::from_secs_f64(0.001 + self.chance() / 200.0);
+        let chance = self.chance();
+        match to.0 % 9 {
+            3 if chance < 0.6 => Some((soon, Outcome::Error)),
+            7 if chance < 0.5 => Some((Duration::from_secs(60), Outcome::Reset)),
+            _ if chance < 0.01 => Some((soon, Outcome::Reset)),
+            _ if chance < 0.02 => Some((soon, Outcome::ConnectFailed)),
+            _ if chance < 0.05 => Some((soon, Outcome::Rejected)),
+            _ => None,
+        }
+    }
+
+    /// What a server says of its load: the requests that it holds.
+    fn load(&self, server: ServerId) -> LoadReport {
+        let left = self.servers[&server].free_at.saturating_sub(self.now).as_secs_f64();
+        LoadReport { in_flight: Some((left * self.capacity).ceil() as f32), ..LoadReport::default() }
+    }
+
+    fn probed(&mut self, node: usize, server: ServerId, sent: Duration) {
+        let elapsed = self.now - sent;
+        let outcome = if self.chance() < 0.05 { Outcome::TimedOut } else { Outcome::Served };
+        let report = (outcome == Outcome::Served).then(|| self.load(server));
+        self.tell(node, Event::Probed(ProbeEnd { server, outcome, elapsed, report }));
     }
 
     fn restart(&mut self, node: usize) {
@@ -193,7 +296,9 @@
         self.servers.get_mut(&server).expect("a server").served += usize::from(served);
         let elapsed = self.now - sent;
         let attempt = attempt as u32;
-        let end = AttemptEnd { id, attempt, server, outcome, elapsed, finished: served, report: None };
+        let reports = self.settings.reports == ReportSource::Answers;
+        let report = (reports && served).then(|| self.load(server));
+        let end = AttemptEnd { id, attempt, server, outcome, elapsed, finished: served, report };
         self.tell(node, Event::AttemptEnded(end));
     }
 
@@ -202,6 +307,7 @@
         self.nodes[node].balancer.handle(self.now, event, &mut actions);
         for action in actions {
             let run = self.nodes[node].run;
+            self.note(node, &action);
             match action {
                 Action::Send { id, server, timeout } => self.send(node, id, server, timeout),
                 Action::SetTimer { after, token } => {
@@ -213,6 +319,14 @@
                     let due = Due::End { id, attempt: attempt as usize, outcome: Outcome::Cancelled, sent };
                     self.set(self.now, node, run, due);
                 }
+                Action::Probe { server } if self.faults => {
+                    let at = self.now + Duration::from_millis(1);
+                    self.set(at, node, run, Due::Probed { server, sent: self.now });
+                }
+                Action::Subscribe { on: true } if self.faults => {
+                    let failed = self.chance() < 0.3;
+                    self.set(self.now + Duration::from_millis(20), node, run, Due::List { failed });
+                }
                 _ => {}
             }
         }
@@ -241,8 +355,11 @@
         let tries = self.nodes[node].tries.entry(id).or_default();
         let attempt = tries.len();
         tries.push(Try { server: to, ended: false });
+        let fault = if self.faults { self.fault(to) } else { None };
+        let (ends, outcome) =
+            fault.map_or((ends, Outcome::Served), |(after, outcome)| (now + after, outcome));
         let (at, outcome) =
-            if ends <= now + timeout { (ends, Outcome::Served) } else { (now + timeout, Outcome::TimedOut) };
+            if ends <= now + timeout { (ends, outcome) } else { (now + timeout, Outcome::TimedOut) };
         let run = self.nodes[node].run;
         self.set(at, node, run, Due::End { id, attempt, outcome, sent: now });
     }
