Make a workspace of the balancer, the node and the simulator adapter

The library hillpick is ottertiller-balancer, the programs sillward and hillpick-benchlink are ottertiller and ottertiller-simulator-adapter.

--- a/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -4,7 +4,6 @@
 //! goes, when it is sent again, refused or given up. Its ordinary path is Join-Up-To(m). It does no
 //! input or output, reads no clock and shares nothing with other nodes; the same events always give
 //! the same actions.
-#![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod interface;
@@ -17,5 +16,5 @@
 
 /// The README's example, compiled as a test.
 #[cfg(doctest)]
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../../README.md")]
 struct Readme;
--- a/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -1,4 +1,4 @@
-//! The decisions of hillpick; those on probes are in `src/policy/probing.rs`. Types, events and actions are
+//! The decisions of a node; those on probes are in `src/policy/probing.rs`. Types, events and actions are
 //! in `src/interface.rs`; what a node remembers of servers and requests in `src/state.rs`.
 
 mod probing;
--- a/tests/action_digest.rs
+++ b/crates/balancer/tests/action_digest.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use hillpick::*;
+use ottertiller_balancer::*;
 use world::fleet::Fleet;
 use world::{answering, ms, probing, settings};
 
--- a/tests/cold.rs
+++ b/crates/balancer/tests/cold.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use hillpick::*;
+use ottertiller_balancer::*;
 use world::fleet::Fleet;
 use world::{class, ms};
 
--- a/tests/decisions.rs
+++ b/crates/balancer/tests/decisions.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use hillpick::*;
+use ottertiller_balancer::*;
 use std::collections::{BTreeMap, BTreeSet};
 use world::*;
 
--- a/tests/memory.rs
+++ b/crates/balancer/tests/memory.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use hillpick::*;
+use ottertiller_balancer::*;
 use std::time::Duration;
 use world::{entry, ms, probing};
 
--- a/tests/properties.rs
+++ b/crates/balancer/tests/properties.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use hillpick::*;
+use ottertiller_balancer::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 use world::*;
--- a/tests/troubles.rs
+++ b/crates/balancer/tests/troubles.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use hillpick::*;
+use ottertiller_balancer::*;
 use world::*;
 
 /// What came of a stretch of requests.
--- a/tests/world/fleet.rs
+++ b/crates/balancer/tests/world/fleet.rs
@@ -1,7 +1,7 @@
 //! Many nodes before the same servers: the balancers share nothing but the servers that they send to. Events come
 //! in the order of their time, and seeded draws stand for chance.
 
-use hillpick::*;
+use ottertiller_balancer::*;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use sha2::{Digest, Sha256};
--- a/tests/world/mod.rs
+++ b/crates/balancer/tests/world/mod.rs
@@ -4,7 +4,7 @@
 
 pub mod fleet;
 
-use hillpick::*;
+use ottertiller_balancer::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/src/bin/sillward/config.rs
+++ b/crates/node/src/config.rs
@@ -1,7 +1,7 @@
 //! What a node is told at its start: the file that `PROXY_CONFIG` names.
 
 use crate::front::READ_BUFFER;
-use hillpick::settings::{self, Site};
+use ottertiller_balancer::settings::{self, Site};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
--- a/src/bin/sillward/in_flight.rs
+++ b/crates/node/src/in_flight.rs
@@ -4,7 +4,7 @@
 //! attempt out, it leaves together with its timers, whichever event came last. No caller has to remember that.
 
 use crate::node::{Answer, Forward, Stop};
-use hillpick::{RequestId, ServerId};
+use ottertiller_balancer::{RequestId, ServerId};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
--- a/src/bin/sillward/log.rs
+++ b/crates/node/src/log.rs
@@ -29,7 +29,7 @@
         let write = move || {
             for entry in inbox {
                 match entry {
-                    Entry::Line(line) => drop(writeln!(io::stderr().lock(), "sillward: {line}")),
+                    Entry::Line(line) => drop(writeln!(io::stderr().lock(), "ottertiller: {line}")),
                     Entry::Flush(done) => drop(done.send(())),
                 }
             }
--- a/src/bin/sillward/main.rs
+++ b/crates/node/src/main.rs
@@ -1,6 +1,5 @@
 //! One real node: clients on one side, backends and discovery on the other, the decision module between.
 //! This file reads the configuration, starts the parts and sees to signals.
-#![forbid(unsafe_code)]
 
 mod backend;
 mod config;
--- a/src/bin/sillward/pool.rs
+++ b/crates/node/src/pool.rs
@@ -6,9 +6,9 @@
 use crate::log::log_peer;
 use crate::socket::{Handle, Socket};
 use bytes::Bytes;
-use hillpick::{ListKind, Outcome, ServerId, ServerState};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
+use ottertiller_balancer::{ListKind, Outcome, ServerId, ServerState};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -354,7 +354,7 @@
 #[cfg(test)]
 pub mod tests {
     use super::*;
-    use hillpick::ServerEntry;
+    use ottertiller_balancer::ServerEntry;
     use socket2::SockRef;
     use tokio::net::TcpListener;
     use tokio::task::LocalSet;
--- a/src/bin/sillward/request.rs
+++ b/crates/node/src/request.rs
@@ -3,14 +3,14 @@
 use crate::backend::BODY_LIMIT;
 use crate::memory::Lease;
 use bytes::{Bytes, BytesMut};
-use hillpick::Repeat;
-use hillpick::settings::Site;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, StatusCode};
+use ottertiller_balancer::Repeat;
+use ottertiller_balancer::settings::Site;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
--- a/tests/ci.rs
+++ b/crates/node/tests/ci_verdict.rs
@@ -4,7 +4,7 @@
 use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-const TESTS: &str = "     Running unittests src/lib.rs (target/debug/deps/hillpick-1)
+const TESTS: &str = "     Running unittests src/lib.rs (target/debug/deps/ottertiller_balancer-1)
 quick: test
 
 1 test, 0 benchmarks
@@ -13,7 +13,7 @@
 slow: test
 
 2 tests, 0 benchmarks
-   Doc-tests hillpick
+   Doc-tests ottertiller_balancer
 README.md - (line 1): test
 
 1 test, 0 benchmarks
@@ -35,8 +35,8 @@
         )
     };
     format!(
-        "     Running unittests src/lib.rs (target/debug/deps/hillpick-1)\ntest quick ... ok\n{good}     \
-         Running tests/node.rs (target/debug/deps/node-1)\n{result}   Doc-tests hillpick\n{good}"
+        "     Running unittests src/lib.rs (target/debug/deps/ottertiller_balancer-1)\ntest quick ... ok\n{good}     \
+         Running tests/node.rs (target/debug/deps/node-1)\n{result}   Doc-tests ottertiller_balancer\n{good}"
     )
 }
 
@@ -51,7 +51,7 @@
         std::fs::write(folder.join(name), text).expect("a file");
         folder.join(name)
     };
-    let mut command = Command::new(Path::new(env!("CARGO_MANIFEST_DIR")).join(".ci/verdict"));
+    let mut command = Command::new(Path::new(env!("CARGO_MANIFEST_DIR")).join("../../.ci/verdict"));
     command.arg(file("tests", TESTS)).arg(file("output", output)).arg(status.to_string());
     command.arg(known.map_or(folder.join("none"), |known| file("known", known)));
     let ended = command.output().expect("it runs");
@@ -107,7 +107,7 @@
 #[test]
 fn what_did_not_come_to_an_end_is_never_passed_over() {
     // A build that fails prints no test; a program that crashes prints no result; and not all can be named.
-    assert!(!verdict("error: could not compile `hillpick`\n", 101, Some(SLOW)).0);
+    assert!(!verdict("error: could not compile `ottertiller-balancer`\n", 101, Some(SLOW)).0);
     let whole = output(&["slow"]);
     let crashed = whole.replace("test result: FAILED", "signal: 11");
     assert!(!verdict(&crashed, 101, Some(SLOW)).0);
--- a/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -836,6 +836,6 @@
         let output = command(&config, "").0.output().expect("it runs");
         let said = String::from_utf8_lossy(&output.stderr);
         assert!(!output.status.success(), "{config}");
-        assert!(said.starts_with("sillward: bad configuration: ") && said.lines().count() == 1, "{said}");
+        assert!(said.starts_with("ottertiller: bad configuration: ") && said.lines().count() == 1, "{said}");
     }
 }
--- a/tests/sockets/mod.rs
+++ b/crates/node/tests/sockets/mod.rs
@@ -252,7 +252,7 @@
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("a place for the configuration");
     let mut command = Command::new("/bin/sh");
-    command.arg("-c").arg(format!("{shell}exec \"$0\"")).arg(env!("CARGO_BIN_EXE_sillward"));
+    command.arg("-c").arg(format!("{shell}exec \"$0\"")).arg(env!("CARGO_BIN_EXE_ottertiller"));
     command.env("PROXY_CONFIG", &path).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
     (command, path)
 }
--- a/src/bin/hillpick-benchlink/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -1,11 +1,10 @@
 //! Plays the part of many nodes on the simulator's wire: one [`Balancer`] for each instance. Frames
 //! come on standard input, replies go to standard output. Knows nothing of how decisions are made.
-#![forbid(unsafe_code)]
 
 mod wire;
 
-use hillpick::settings::{self, Column};
-use hillpick::{Balancer, Event};
+use ottertiller_balancer::settings::{self, Column};
+use ottertiller_balancer::{Balancer, Event};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Read, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -31,7 +30,7 @@
         now: Duration,
         mut event: Event,
         raw: Option<RawReport>,
-    ) -> Result<Vec<hillpick::Action>, String> {
+    ) -> Result<Vec<ottertiller_balancer::Action>, String> {
         let report = raw.map(|raw| named_report(raw, &self.columns));
         match &mut event {
             Event::AttemptEnded(end) => end.report = report,
@@ -92,7 +91,7 @@
     match run(&mut BufReader::with_capacity(1 << 16, io::stdin().lock()), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
-            eprintln!("hillpick-benchlink: {what}");
+            eprintln!("ottertiller-simulator-adapter: {what}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/hillpick-benchlink/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -1,7 +1,7 @@
 //! The simulator's frames: batches of events in, one reply with actions for each.
 
-use hillpick::settings::{Column, millis};
-use hillpick::{
+use ottertiller_balancer::settings::{Column, millis};
+use ottertiller_balancer::{
     Action, AttemptEnd, Event, ListKind, LoadReport, NewRequest, Outcome, ProbeEnd, RequestId, ServerEntry,
     ServerId, ServerState,
 };
--- a/src/bin/hillpick-benchlink/wire_tests.rs
+++ b/crates/simulator-adapter/src/wire_tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use hillpick::{AttemptEnd, ProbeEnd};
+use ottertiller_balancer::{AttemptEnd, ProbeEnd};
 
 fn hex(text: &str) -> Vec<u8> {
     let digits: Vec<u8> = text.bytes().filter(|b| !b.is_ascii_whitespace()).collect();
--- a/tests/adapter.rs
+++ b/crates/simulator-adapter/tests/adapter.rs
@@ -7,7 +7,7 @@
     "Idempotency": "free", "Unheard": true}]}"#;
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_hillpick-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_ottertiller-simulator-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -133,7 +133,7 @@
         let output = run(&input);
         let said = String::from_utf8_lossy(&output.stderr);
         assert!(!output.status.success(), "{expected}");
-        assert!(said.starts_with(&format!("hillpick-benchlink: {expected}")), "{said}");
+        assert!(said.starts_with(&format!("ottertiller-simulator-adapter: {expected}")), "{said}");
         assert_eq!(said.lines().count(), 1, "{said}");
         replies(&output.stdout);
     }
