--- a/crates/balancer/src/interface.rs
+++ b/crates/balancer/src/interface.rs
@@ -7,7 +7,7 @@
 
 /// A server, as the server list names it. The number carries no meaning.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ServerId(pub u64);
+pub struct EndpointId(pub u64);
 
 /// A request that this node has taken. Never reused.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -17,21 +17,21 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// How many nodes share this work, this one included; at least 1.
-    pub nodes: u32,
+    pub node_count: u32,
     /// This node's number among them, from 0.
-    pub node: u32,
+    pub node_index: u32,
     /// The zone this node is in.
     pub zone: u8,
     /// The request classes; events name them by position.
-    pub classes: Vec<Class>,
+    pub classes: Vec<RequestClass>,
     /// The tenants; events name them by position. Empty where there are none.
     pub tenants: Vec<Tenant>,
     /// Worth of a request beyond its tenant's share, as a fraction of its class's worth.
-    pub over_share_worth: f64,
+    pub over_quota_weight: f64,
     /// Whether worth is counted for each unit of work instead of each request.
-    pub worth_by_work: bool,
+    pub weight_by_work: bool,
     /// How servers report their load.
-    pub reports: ReportSource,
+    pub load_reports: LoadReportSource,
     /// What the site permits.
     pub limits: Limits,
     /// The figures of the four rules.
@@ -41,35 +41,35 @@
     /// How the result is put together.
     pub goal: Goal,
     /// Whether the server list must be asked for; otherwise changes arrive by themselves.
-    pub list_on_request: bool,
+    pub poll_endpoints: bool,
     /// The least time between two rounds of events, and so the precision of timers.
     pub tick: Duration,
 }
 
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Class {
+pub struct RequestClass {
     /// An answer within this time has its full worth.
-    pub aim: Duration,
+    pub latency_objective: Duration,
     /// The aim is longer by this multiple of the request's own work, within the deadline.
-    pub aim_stretch: f64,
+    pub objective_stretch: f64,
     /// How long a client waits in all, over all its tries.
     pub deadline: Duration,
     /// What a request is worth.
-    pub worth: f64,
+    pub priority_weight: f64,
     /// The fraction of the worth that an answer after the aim still has.
-    pub late_worth: f64,
+    pub late_weight: f64,
     /// How far a request may be repeated once it may have run.
-    pub repeat: Repeat,
-    /// Whether answers are streamed, so that [`Event::Started`] arrives.
+    pub idempotency: Idempotency,
+    /// Whether answers are streamed, so that [`Event::StreamStarted`] arrives.
     pub streamed: bool,
 }
 
 /// How far a request may be repeated once an attempt may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Repeat {
+pub enum Idempotency {
     /// It may be repeated freely.
-    Safe,
+    Idempotent,
     /// Servers drop repeats, within a group and for a time.
     Keyed {
         /// The servers that know of each other's requests.
@@ -78,7 +78,7 @@
         window: Duration,
     },
     /// It must never run twice.
-    Unsafe,
+    NotIdempotent,
 }
 
 /// The group of servers that drops the repeats of a keyed request.
@@ -96,18 +96,18 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tenant {
     /// Requests a second within its share, over all nodes.
-    pub allowance_per_s: f64,
+    pub quota_per_s: f64,
     /// Its fraction of the service.
-    pub share: f64,
+    pub quota_share: f64,
 }
 
 /// Where load reports come from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReportSource {
+pub enum LoadReportSource {
     /// With answers, and with probe results.
-    Answers,
+    Responses,
     /// With probe results only.
-    Probes,
+    HealthChecks,
     /// From nowhere.
     None,
 }
@@ -120,7 +120,7 @@
     /// Whether an attempt may be cancelled.
     pub cancel: bool,
     /// Whether servers may be probed.
-    pub probes: bool,
+    pub health_checks: bool,
     /// Whether two attempts of a request may be out at once.
     pub parallel_attempts: bool,
     /// The longest wait that clients obey after a refusal; `None` if they are not told of one.
@@ -135,22 +135,22 @@
     /// How long after it is told a node may still send to a server that drains or is gone.
     pub drain_grace: Duration,
     /// A server starts with this fraction of its capacity, or more.
-    pub cold_share: f64,
+    pub initial_capacity: f64,
     /// And has all of it after this time at the latest.
-    pub warm_after: Duration,
+    pub slow_start_window: Duration,
     /// A cold server falls over when sent more than this multiple of its present capacity ...
     pub overload_factor: f64,
     /// ... for this long.
-    pub overload_time: Duration,
+    pub overload_window: Duration,
     /// Where the list must be asked for: the longest time without asking or a subscription.
-    pub ask_within: Duration,
+    pub poll_interval: Duration,
 }
 
 /// What is taken off the result.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Prices {
     /// One probe for each request costs this fraction of the service.
-    pub probe: f64,
+    pub health_check: f64,
     /// An attempt that crosses zones, for each request.
     pub cross_zone: f64,
     /// Work that serves no answer, as much as was asked for.
@@ -176,21 +176,21 @@
 
 /// A server's state, as listed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum ServerState {
+pub enum EndpointState {
     /// It takes requests.
     Ready,
     /// It finishes its work and takes nothing new.
     Draining,
     /// It has been removed.
     #[default]
-    Gone,
+    Removed,
 }
 
 /// A line of the server list.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct ServerEntry {
+pub struct EndpointEntry {
     /// The server.
-    pub id: ServerId,
+    pub id: EndpointId,
     /// The zone it is in.
     pub zone: u8,
     /// Its machine kind.
@@ -198,7 +198,7 @@
     /// Its cell.
     pub cell: u16,
     /// Its state.
-    pub state: ServerState,
+    pub state: EndpointState,
     /// A figure to compare with other servers' weights.
     pub weight: f32,
     /// When it last started; `None` if that is long ago.
@@ -209,9 +209,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListKind {
     /// Changed lines only.
-    Changes,
+    Delta,
     /// The whole list.
-    Full,
+    Snapshot,
     /// The whole list as this node last had it before it started; may be out of date.
     Cached,
     /// A call for the list failed, or the subscription broke. No lines.
@@ -277,7 +277,7 @@
     /// How long this client waits for this try.
     pub remaining: Duration,
     /// Its expected work on a standard core, where known.
-    pub cost: Option<Duration>,
+    pub cost_hint: Option<Duration>,
     /// Whether the client says that it repeats an earlier try.
     pub client_retry: bool,
 }
@@ -290,7 +290,7 @@
     /// The number of the attempt, in the order of sending, from 0.
     pub attempt: u32,
     /// The server.
-    pub server: ServerId,
+    pub endpoint: EndpointId,
     /// How it ended.
     pub outcome: Outcome,
     /// The time since it was sent.
@@ -303,9 +303,9 @@
 
 /// How a probe ended.
 #[derive(Clone, Debug, PartialEq)]
-pub struct ProbeEnd {
+pub struct HealthCheckEnd {
     /// The server.
-    pub server: ServerId,
+    pub endpoint: EndpointId,
     /// How it ended.
     pub outcome: Outcome,
     /// The time since it was sent.
@@ -318,27 +318,27 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// News of the server list.
-    List {
+    EndpointList {
         /// What the lines are.
         kind: ListKind,
         /// The lines.
-        entries: Vec<ServerEntry>,
+        entries: Vec<EndpointEntry>,
     },
     /// A client's request has arrived. The node owes it one final answer.
     Request(NewRequest),
     /// A streamed answer has started; the attempt belongs to the client now.
-    Started {
+    StreamStarted {
         /// The request.
         id: RequestId,
         /// The number of the attempt, in the order of sending.
         attempt: u32,
         /// The server.
-        server: ServerId,
+        endpoint: EndpointId,
     },
     /// An attempt has ended. Each send has exactly one such event.
     AttemptEnded(AttemptEnd),
     /// The client has left; no answer is owed any more.
-    ClientGone {
+    ClientDisconnected {
         /// The request.
         id: RequestId,
     },
@@ -348,9 +348,9 @@
         token: u64,
     },
     /// A probe has ended.
-    Probed(ProbeEnd),
+    HealthChecked(HealthCheckEnd),
     /// A message from another node.
-    Peer {
+    PeerMessage {
         /// The sender's number.
         from: u32,
         /// Its text.
@@ -362,16 +362,16 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Start an attempt.
-    Send {
+    StartAttempt {
         /// The request.
         id: RequestId,
         /// Where to.
-        server: ServerId,
+        endpoint: EndpointId,
         /// How long to wait for it.
         timeout: Duration,
     },
     /// Final answer: refused, and to try again does no harm.
-    Refuse {
+    Shed {
         /// The request.
         id: RequestId,
         /// How long the client should wait before it tries again.
@@ -383,7 +383,7 @@
         id: RequestId,
     },
     /// Stop waiting for an attempt.
-    Cancel {
+    CancelAttempt {
         /// The request.
         id: RequestId,
         /// The number of the attempt.
@@ -397,24 +397,24 @@
         token: u64,
     },
     /// Ask a server for its load.
-    Probe {
+    HealthCheck {
         /// The server.
-        server: ServerId,
+        endpoint: EndpointId,
     },
     /// Close idle connections to a server.
-    CloseIdle {
+    CloseIdleConnections {
         /// The server.
-        server: ServerId,
+        endpoint: EndpointId,
     },
     /// Subscribe to changes of the server list, or end that.
     Subscribe {
         /// On or off.
-        on: bool,
+        enabled: bool,
     },
     /// Ask for the whole server list once.
-    FetchList,
+    FetchEndpointList,
     /// Send a message to another node, or to all of them.
-    Tell {
+    SendToPeer {
         /// The receiver's number; `None` for all.
         to: Option<u32>,
         /// At most 256 bytes.
@@ -431,41 +431,41 @@
     /// One node, one safe class, no tenants, no reports and no probes: the least a node can run on.
     fn default() -> Self {
         Settings {
-            nodes: 1,
-            node: 0,
+            node_count: 1,
+            node_index: 0,
             zone: 0,
-            classes: vec![Class {
-                aim: Duration::from_millis(500),
-                aim_stretch: 0.0,
+            classes: vec![RequestClass {
+                latency_objective: Duration::from_millis(500),
+                objective_stretch: 0.0,
                 deadline: Duration::from_secs(1),
-                worth: 1.0,
-                late_worth: 0.0,
-                repeat: Repeat::Safe,
+                priority_weight: 1.0,
+                late_weight: 0.0,
+                idempotency: Idempotency::Idempotent,
                 streamed: false,
             }],
             tenants: Vec::new(),
-            over_share_worth: 1.0,
-            worth_by_work: false,
-            reports: ReportSource::None,
+            over_quota_weight: 1.0,
+            weight_by_work: false,
+            load_reports: LoadReportSource::None,
             limits: Limits {
                 max_attempts: 3,
                 cancel: false,
-                probes: false,
+                health_checks: false,
                 parallel_attempts: false,
                 max_retry_after: None,
                 connect_timeout: Duration::from_millis(250),
             },
             rules: Rules {
                 drain_grace: Duration::from_secs(1),
-                cold_share: 1.0,
-                warm_after: Duration::ZERO,
+                initial_capacity: 1.0,
+                slow_start_window: Duration::ZERO,
                 overload_factor: 3.0,
-                overload_time: Duration::from_secs(2),
-                ask_within: Duration::from_secs(10),
+                overload_window: Duration::from_secs(2),
+                poll_interval: Duration::from_secs(10),
             },
             prices: Prices::default(),
             goal: Goal { whole: 1.0, ..Goal::default() },
-            list_on_request: false,
+            poll_endpoints: false,
             tick: Duration::from_millis(1),
         }
     }
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -40,22 +40,25 @@
 const LEVELS: usize = 64;
 
 /// A server's place on the ring: multiplied by the golden ratio's part of 2^64, neighbouring ids fall apart.
-fn scatter(id: ServerId) -> u64 {
+fn scatter(id: EndpointId) -> u64 {
     id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15)
 }
 
 /// One of them at random, as a draw between 0 and 1 falls.
-fn any_of(among: &[&Server], draw: f64) -> Option<ServerId> {
-    among.get((draw * among.len() as f64) as usize).map(|server| server.entry.id)
+fn any_of(among: &[&Server], draw: f64) -> Option<EndpointId> {
+    among.get((draw * among.len() as f64) as usize).map(|endpoint| endpoint.entry.id)
 }
 
 impl Balancer {
     /// A node that has just started and holds no state.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or_default();
+        let latency_objective =
+            settings.classes.iter().map(|c| c.latency_objective).min().unwrap_or_default();
         let mut node = Balancer::empty(settings, Pcg32::seed_from_u64(seed));
-        node.usual_times = node.settings.classes.iter().map(|c| c.aim.as_secs_f64() / 2.0).collect();
-        (node.answer_time, node.median) = (aim.as_secs_f64() / 2.0, aim.as_secs_f64() / 4.0);
+        node.usual_times =
+            node.settings.classes.iter().map(|c| c.latency_objective.as_secs_f64() / 2.0).collect();
+        (node.answer_time, node.median) =
+            (latency_objective.as_secs_f64() / 2.0, latency_objective.as_secs_f64() / 4.0);
         (node.sends, node.idle_signs, node.busy) = (1.0, 1.0, 0.5);
         (node.in_time, node.taken, node.retry_tokens) = (vec![0.25; LEVELS], 2.0, 1.0 / RETRY_SHARE);
         node.in_time[..2].fill(0.75);
@@ -69,21 +72,21 @@
         if first {
             (self.started, self.part_at) = (self.now, self.now);
         }
-        if first && self.settings.list_on_request {
+        if first && self.settings.poll_endpoints {
             // All nodes may have started together: they spread their first calls.
-            self.ask_at = Some(self.now + self.settings.rules.ask_within.mul_f64(self.random() / 4.0));
+            self.ask_at = Some(self.now + self.settings.rules.poll_interval.mul_f64(self.random() / 4.0));
             self.on_tick(actions);
         }
         match event {
-            Event::List { kind, entries } => self.on_list(kind, entries),
+            Event::EndpointList { kind, entries } => self.on_list(kind, entries),
             Event::Request(new) => self.on_request(new, actions),
-            Event::Started { id, .. } => drop(self.requests.get_mut(&id).map(|r| r.streaming = true)),
+            Event::StreamStarted { id, .. } => drop(self.requests.get_mut(&id).map(|r| r.streaming = true)),
             Event::AttemptEnded(end) => self.on_outcome(end, actions),
-            Event::ClientGone { id } => self.close(id, actions),
+            Event::ClientDisconnected { id } => self.close(id, actions),
             Event::Timer { token: TICK } => self.on_tick(actions),
             Event::Timer { token } => self.on_request_timer(RequestId(token), actions),
-            Event::Probed(end) => self.on_probed(end, actions),
-            Event::Peer { .. } => {}
+            Event::HealthChecked(end) => self.on_probed(end, actions),
+            Event::PeerMessage { .. } => {}
         }
     }
 
@@ -91,24 +94,24 @@
 
     /// The rules: nothing relaxes these. Rule 3 is kept with its whole grace to spare; by rule 4 a cold
     /// server is sent no more than this node's part of what it can take.
-    fn permitted(&self, server: &Server, request: &Request) -> bool {
-        server.entry.state == ServerState::Ready
-            && (self.warmth(server) >= 1.0 || server.ticket > self.now && request.weight <= HEAVY)
-            && self.repeat_allows(server, request)
-            && !request.attempts.iter().any(|a| a.to.id == server.entry.id)
+    fn permitted(&self, endpoint: &Server, request: &Request) -> bool {
+        endpoint.entry.state == EndpointState::Ready
+            && (self.warmth(endpoint) >= 1.0 || endpoint.ticket > self.now && request.weight <= HEAVY)
+            && self.repeat_allows(endpoint, request)
+            && !request.attempts.iter().any(|a| a.to.id == endpoint.entry.id)
     }
 
     /// Rule 2: what may have run is sent again only as its class allows.
-    fn repeat_allows(&self, server: &Server, request: &Request) -> bool {
+    fn repeat_allows(&self, endpoint: &Server, request: &Request) -> bool {
         let Some(first) = request.attempts.iter().find(|a| a.may_have_run()) else { return true };
-        match self.settings.classes[request.class].repeat {
-            Repeat::Safe => true,
-            Repeat::Unsafe => false,
-            Repeat::Keyed { scope, window } => {
+        match self.settings.classes[request.class].idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::NotIdempotent => false,
+            Idempotency::Keyed { scope, window } => {
                 let together = match scope {
                     Scope::All => true,
-                    Scope::Zone => first.to.zone == server.entry.zone,
-                    Scope::Cell => first.to.cell == server.entry.cell,
+                    Scope::Zone => first.to.zone == endpoint.entry.zone,
+                    Scope::Cell => first.to.cell == endpoint.entry.cell,
                 };
                 together && self.now < first.sent + window
             }
@@ -116,12 +119,12 @@
     }
 
     /// The share of its capacity that a server has for certain.
-    fn warmth(&self, server: &Server) -> f64 {
+    fn warmth(&self, endpoint: &Server) -> f64 {
         let rules = &self.settings.rules;
-        let Some(started) = server.entry.started else { return 1.0 };
+        let Some(started) = endpoint.entry.started else { return 1.0 };
         let age = self.now.saturating_sub(started).as_secs_f64();
-        let grown = age / rules.warm_after.as_secs_f64().max(1e-6);
-        (rules.cold_share + (1.0 - rules.cold_share) * grown).min(1.0)
+        let grown = age / rules.slow_start_window.as_secs_f64().max(1e-6);
+        (rules.initial_capacity + (1.0 - rules.initial_capacity) * grown).min(1.0)
     }
 
     /// Rule 4: a cold server is sent a request for a ticket. All nodes' answers from a warm server add up to
@@ -129,29 +132,30 @@
     /// short time, since what hundreds of quiet nodes save up can be spent in one burst.
     fn draw_tickets(&mut self) {
         let (rules, now) = (self.settings.rules, self.now);
-        let cold = |id: &ServerId| self.servers.get(id).is_some_and(|s| self.warmth(s) < 1.0);
+        let cold = |id: &EndpointId| self.endpoints.get(id).is_some_and(|s| self.warmth(s) < 1.0);
         let cold: Vec<_> = self.ring().take(2 * self.enough()).filter(cold).collect();
         // What a warm server can do does not fall with what is answered in a jam: the best of late counts.
-        let fading = (now - self.part_at).as_secs_f64() / rules.warm_after.as_secs_f64().max(1e-3);
+        let fading = (now - self.part_at).as_secs_f64() / rules.slow_start_window.as_secs_f64().max(1e-3);
         self.part = (self.part * (-fading).exp()).max(self.carried_by_one());
         self.part_at = now;
         let part = self.part;
         for id in cold {
-            let rate =
-                (rules.overload_factor * COLD_SPEND).min(COLD_LOAD) * self.warmth(&self.servers[&id]) * part;
-            let (chance, span) = (self.random(), rules.overload_time / 2);
-            let Some(server) = self.servers.get_mut(&id) else { continue };
-            let since = now.saturating_sub(server.drawn).min(span).as_secs_f64();
+            let rate = (rules.overload_factor * COLD_SPEND).min(COLD_LOAD)
+                * self.warmth(&self.endpoints[&id])
+                * part;
+            let (chance, span) = (self.random(), rules.overload_window / 2);
+            let Some(endpoint) = self.endpoints.get_mut(&id) else { continue };
+            let since = now.saturating_sub(endpoint.drawn).min(span).as_secs_f64();
             let won = chance < 1.0 - (-rate * since).exp();
-            server.ticket = if server.ticket <= now && won { now + span } else { server.ticket };
-            server.drawn = now;
+            endpoint.ticket = if endpoint.ticket <= now && won { now + span } else { endpoint.ticket };
+            endpoint.drawn = now;
         }
     }
 
     /// What a warm server carries for this node a second; if none is warm, an even part of what arrives.
     fn carried_by_one(&self) -> f64 {
         let near = self.enough().min(self.order.len());
-        let warm = self.ring().take(near).filter(|id| self.warmth(&self.servers[id]) >= 1.0).count();
+        let warm = self.ring().take(near).filter(|id| self.warmth(&self.endpoints[id]) >= 1.0).count();
         let (total, by) = if warm > 0 { (&self.carried, warm) } else { (&self.arrived, near.max(1)) };
         self.rate(total) / by as f64
     }
@@ -165,32 +169,32 @@
 
     /// Rates are taken over a few of the spans in which a cold server is judged.
     fn memory(&self) -> f64 {
-        3.0 * self.settings.rules.overload_time.as_secs_f64().max(1e-3)
+        3.0 * self.settings.rules.overload_window.as_secs_f64().max(1e-3)
     }
 
     /// How crowded a server is: what it reported lately, and at least own attempts that are out.
-    fn crowd(&self, server: &Server) -> f64 {
-        let guess = f64::from(server.out) / (1.0 - server.failing).max(SMOOTH);
-        self.fresh_load(server).map_or(guess, |load| load.max(server.out.into()))
+    fn crowd(&self, endpoint: &Server) -> f64 {
+        let guess = f64::from(endpoint.out) / (1.0 - endpoint.failing).max(SMOOTH);
+        self.fresh_load(endpoint).map_or(guess, |load| load.max(endpoint.out.into()))
     }
 
     /// Soft gate: at this crowding, at least three in four of what was sent have come back in time; luck
     /// decides where it does not look crowded, since many nodes together may crowd it all the same.
-    fn fits(&self, server: &Server, request: &Request, luck: f64) -> bool {
-        let level = self.crowd(server).round() as usize;
+    fn fits(&self, endpoint: &Server, request: &Request, luck: f64) -> bool {
+        let level = self.crowd(endpoint).round() as usize;
         let chance = luck.powf(request.value);
         // A misfortune of blind sends is no reason to refuse what has found an idle server.
-        let idle = self.fresh_load(server).is_some_and(|load| load < 0.5);
+        let idle = self.fresh_load(endpoint).is_some_and(|load| load < 0.5);
         let open =
             (idle || chance <= self.taken) && (level == 0 || self.in_time[level.min(LEVELS - 1)] >= 0.75);
         // A few are tried in any case, or else nothing would tell of better times: as few of the dear ones.
-        open || server.out == 0 && luck < SMOOTH / 2.0
+        open || endpoint.out == 0 && luck < SMOOTH / 2.0
     }
 
     // ---- The pick ---------------------------------------------------------------------------
 
     /// Join-Up-To(m): the lowest estimate strictly below m, ties at random.
-    fn below_cap(&self, among: &[&Server], draw: f64) -> Option<ServerId> {
+    fn below_cap(&self, among: &[&Server], draw: f64) -> Option<EndpointId> {
         let cap = self.cap();
         let estimates: Vec<_> = among.iter().map(|s| self.estimate(s, cap)).collect();
         let lowest = *estimates.iter().min().filter(|e| **e < cap)?;
@@ -200,9 +204,9 @@
 
     /// Own sends since the last idle sign. Where those come from cheap probes and other nodes send as well,
     /// a sign lapses once they may have sent there too.
-    fn estimate(&self, server: &Server, cap: u32) -> u32 {
-        let lapses = self.probes_tell() && self.settings.nodes > 1;
-        if lapses && !server.idle_at.is_some_and(|at| self.fresh(at)) { cap } else { server.count }
+    fn estimate(&self, endpoint: &Server, cap: u32) -> u32 {
+        let lapses = self.probes_tell() && self.settings.node_count > 1;
+        if lapses && !endpoint.idle_at.is_some_and(|at| self.fresh(at)) { cap } else { endpoint.count }
     }
 
     /// The cap m of Theorem 6 of the paper, from own sends for each idle sign (its lambda / delta) and the
@@ -226,7 +230,7 @@
     /// within a hundredth of the service. Each has a server for every request at once and two to choose from.
     fn enough(&self) -> usize {
         let affordable = 100.0 * PRICE_SPEND / self.settings.prices.connections;
-        let part = affordable * self.order.len() as f64 / f64::from(self.settings.nodes);
+        let part = affordable * self.order.len() as f64 / f64::from(self.settings.node_count);
         let rate = self.sent.per_s(self.now, self.memory());
         let sightings = SIGHTINGS / if self.probes_tell() { 2.0 } else { 1.0 };
         let in_view = (rate * self.memory()).max(FEW * SIGHTINGS) / sightings;
@@ -245,7 +249,7 @@
         self.draw_tickets();
         let Some(request) = self.requests.get(&id).filter(|r| !r.done && self.may_go(r)) else { return };
         let permitted =
-            self.ring().filter_map(|id| self.servers.get(&id)).filter(|s| self.permitted(s, request));
+            self.ring().filter_map(|id| self.endpoints.get(&id)).filter(|s| self.permitted(s, request));
         let permitted: Vec<_> = permitted.take(self.enough()).collect();
         let again = !request.attempts.is_empty();
         if self.now >= request.until || again && (self.retry_tokens < 1.0 || permitted.is_empty()) {
@@ -258,7 +262,7 @@
         }
         // Soft gates give way when they leave nobody. Ejected servers get one request in so many on trial,
         // seldom one that can't be sent again: else trials take most of a quiet node's requests.
-        let once = self.settings.classes[request.class].repeat == Repeat::Unsafe;
+        let once = self.settings.classes[request.class].idempotency == Idempotency::NotIdempotent;
         let trial = !again && luck * if once { 4.0 } else { 1.0 } < SMOOTH;
         let due = |s: &Server| trial && s.ejected.is_some_and(|until| self.now >= until && s.out == 0);
         let due: Vec<_> = permitted.iter().copied().filter(|s| due(s)).collect();
@@ -273,9 +277,9 @@
         let unknown: Vec<_> = healthy.iter().filter(unknown).map(|s| s.entry.id).collect();
         // The lowest estimate below m, or a probe for one, or one at random where all have reached m.
         match below {
-            Some(server) => self.send(id, server, actions),
+            Some(endpoint) => self.send(id, endpoint, actions),
             None if self.held.contains(&id) || ask && self.probe(id, unknown, actions) => {}
-            None if any.is_some() => any.into_iter().for_each(|server| self.send(id, server, actions)),
+            None if any.is_some() => any.into_iter().for_each(|endpoint| self.send(id, endpoint, actions)),
             // Everybody is too crowded to answer in time: better to say so now.
             None => self.finish(id, actions),
         }
@@ -297,23 +301,25 @@
     /// How long a request may still be sent again, once it may have run; less what a timer may come late.
     fn repeatable_for(&self, request: &Request) -> Duration {
         let first = request.attempts.iter().find(|a| a.may_have_run()).map_or(self.now, |a| a.sent);
-        match self.settings.classes[request.class].repeat {
-            Repeat::Safe => Duration::MAX,
-            Repeat::Unsafe => Duration::ZERO,
-            Repeat::Keyed { window, .. } => {
+        match self.settings.classes[request.class].idempotency {
+            Idempotency::Idempotent => Duration::MAX,
+            Idempotency::NotIdempotent => Duration::ZERO,
+            Idempotency::Keyed { window, .. } => {
                 (first + window).saturating_sub(self.now + 2 * self.settings.tick)
             }
         }
     }
 
     /// The only place that sends. Every rule is checked here, whatever led to it.
-    fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
+    fn send(&mut self, id: RequestId, to: EndpointId, actions: &mut Vec<Action>) {
         let now = self.now;
-        let (Some(request), Some(server)) = (self.requests.get(&id), self.servers.get(&to)) else { return };
+        let (Some(request), Some(endpoint)) = (self.requests.get(&id), self.endpoints.get(&to)) else {
+            return;
+        };
         let again = !request.attempts.is_empty();
         let room = (request.attempts.len() as u32) < self.settings.limits.max_attempts.max(1);
         let owed = !request.done && self.may_go(request) && now < request.until;
-        if !owed || !room || !self.permitted(server, request) {
+        if !owed || !room || !self.permitted(endpoint, request) {
             return self.finish(id, actions);
         }
         // Time is kept for one more attempt where there may be one: the server may stay silent.
@@ -329,14 +335,14 @@
         if more && hedged {
             actions.push(Action::SetTimer { after: patience, token: id.0 });
         }
-        let crowd = (self.crowd(server).round() as usize).min(LEVELS - 1);
-        let attempt = Attempt { to: server.entry, sent: now, ends: now + timeout, crowd, outcome: None };
+        let crowd = (self.crowd(endpoint).round() as usize).min(LEVELS - 1);
+        let attempt = Attempt { to: endpoint.entry, sent: now, ends: now + timeout, crowd, outcome: None };
         self.requests.entry(id).and_modify(|r| (r.probed, _) = (true, r.attempts.push(attempt)));
-        self.servers.entry(to).and_modify(|s| {
+        self.endpoints.entry(to).and_modify(|s| {
             (s.ticket, s.count, s.out) = (Duration::ZERO, s.count + 1, s.out + 1);
             s.load = s.load.map(|(load, at)| (load + 1.0, at));
         });
-        actions.push(Action::Send { id, server: to, timeout });
+        actions.push(Action::StartAttempt { id, endpoint: to, timeout });
         self.retry_tokens -= if again { 1.0 } else { 0.0 };
         self.held.retain(|held| *held != id);
         self.sent.add(now, self.memory(), 1.0);
@@ -359,14 +365,15 @@
         let overdue = (0.0..usual / 4.0).contains(&past) && end.elapsed.as_secs_f64() >= usual;
         // Nothing to spare, or well past the aim where late answers have worth.
         let (class, left) = (&self.settings.classes[request.class], request.until - attempt.sent);
-        let tight = 4 * end.elapsed > if class.late_worth > 0.0 { 5 } else { 3 } * class.aim.min(left);
+        let tight =
+            4 * end.elapsed > if class.late_weight > 0.0 { 5 } else { 3 } * class.latency_objective.min(left);
         let (finished, waiting) = (end.finished || request.done, request.out() == 0);
         if end.outcome == Outcome::Served {
             let usual = &mut self.usual_times[request.class];
             *usual += (end.elapsed.as_secs_f64() - *usual) * SMOOTH / 4.0;
         }
-        self.servers.entry(end.server).and_modify(|s| s.out = s.out.saturating_sub(1));
-        self.on_report(end.server, end.report, end.outcome == Outcome::Served);
+        self.endpoints.entry(end.endpoint).and_modify(|s| s.out = s.out.saturating_sub(1));
+        self.on_report(end.endpoint, end.report, end.outcome == Outcome::Served);
         self.learn(&end, overdue, tight, crowd, weight);
         if finished {
             self.close(end.id, actions);
@@ -383,14 +390,14 @@
                 let above = end.elapsed.as_secs_f64() > self.median * weight.max(1.0);
                 self.median *= 1.0 + if above { SMOOTH } else { -SMOOTH } / 4.0;
                 self.answer_time += (end.elapsed.as_secs_f64() - self.answer_time) * SMOOTH / 4.0;
-                if self.servers.get(&end.server).is_some_and(|s| self.warmth(s) >= 1.0) {
+                if self.endpoints.get(&end.endpoint).is_some_and(|s| self.warmth(s) >= 1.0) {
                     self.carried.add(self.now, self.memory(), weight);
                 }
-                self.judge(end.server, if tight { 0.5 } else { 0.0 }, SMOOTH * 2.0);
+                self.judge(end.endpoint, if tight { 0.5 } else { 0.0 }, SMOOTH * 2.0);
             }
-            Outcome::ConnectFailed => self.judge(end.server, 1.0, 1.0),
+            Outcome::ConnectFailed => self.judge(end.endpoint, 1.0, 1.0),
             _ if late || matches!(end.outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset) => {
-                self.judge(end.server, 1.0, SMOOTH * 2.0)
+                self.judge(end.endpoint, 1.0, SMOOTH * 2.0)
             }
             _ => {}
         }
@@ -408,7 +415,7 @@
                 }
                 // Others crowd it as well, or something is wrong with it; the part that is this node's own
                 // crowding has closed a level.
-                let own = if crowd > 0 { 1.0 / f64::from(self.settings.nodes.max(1)) } else { 0.0 };
+                let own = if crowd > 0 { 1.0 / f64::from(self.settings.node_count.max(1)) } else { 0.0 };
                 self.taken = (self.taken - self.taken * SMOOTH * (1.0 - own)).max(LEAST_TAKEN);
             }
             _ => {}
@@ -416,35 +423,35 @@
     }
 
     /// Takes a sign of a server's health: 1 for a failure, 0 for an answer, 1/2 for a tight one.
-    fn judge(&mut self, id: ServerId, failed: f64, weight: f64) {
-        let Some(server) = self.servers.get_mut(&id) else { return };
-        server.failing += (failed - server.failing) * weight;
+    fn judge(&mut self, id: EndpointId, failed: f64, weight: f64) {
+        let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
+        endpoint.failing += (failed - endpoint.failing) * weight;
         self.failing += (failed - self.failing) * SMOOTH / 2.0;
         if failed < 1.0 {
-            (server.ejected, server.ejections) = (None, server.ejections / 2);
+            (endpoint.ejected, endpoint.ejections) = (None, endpoint.ejections / 2);
             return;
         }
-        let (failing, on_trial, times) = (server.failing, server.ejected.is_some(), server.ejections);
-        let ready: Vec<_> = self.ring().take(2 * self.enough()).map(|id| &self.servers[&id]).collect();
+        let (failing, on_trial, times) = (endpoint.failing, endpoint.ejected.is_some(), endpoint.ejections);
+        let ready: Vec<_> = self.ring().take(2 * self.enough()).map(|id| &self.endpoints[&id]).collect();
         let room = 2 * ready.iter().filter(|s| s.ejected.is_some()).count() + 2 <= ready.len();
         // What all suffer is no server's fault, and half stay unless they can't be reached from here at all.
         if on_trial || weight >= 1.0 || room && failing > 0.5 && failing > 1.5 * self.failing {
-            let until = Some(self.now + self.settings.rules.overload_time * (1 << times.min(4)));
-            self.servers.entry(id).and_modify(|s| (s.ejected, s.ejections) = (until, times + 1));
+            let until = Some(self.now + self.settings.rules.overload_window * (1 << times.min(4)));
+            self.endpoints.entry(id).and_modify(|s| (s.ejected, s.ejections) = (until, times + 1));
         }
     }
 
     /// Nothing in flight with an answer (an empty queue where that is all there is) is an idle sign, but a
     /// late one if own attempts are still out there: those stay in the estimate.
-    fn on_report(&mut self, id: ServerId, report: Option<LoadReport>, served: bool) {
-        let (Some(report), Some(server)) = (report, self.servers.get_mut(&id)) else { return };
+    fn on_report(&mut self, id: EndpointId, report: Option<LoadReport>, served: bool) {
+        let (Some(report), Some(endpoint)) = (report, self.endpoints.get_mut(&id)) else { return };
         let Some(load) = report.in_flight.or(report.queue).map(f64::from) else { return };
-        server.load = Some((load, self.now));
+        endpoint.load = Some((load, self.now));
         self.busy += (if load < 0.5 { 0.0 } else { 1.0 } - self.busy) * SMOOTH / 8.0;
         if load < 0.5 && served {
-            self.idle_signs += if server.count > server.out { 1.0 } else { 0.0 };
-            server.count = server.count.min(server.out);
-            server.idle_at = Some(self.now);
+            self.idle_signs += if endpoint.count > endpoint.out { 1.0 } else { 0.0 };
+            endpoint.count = endpoint.count.min(endpoint.out);
+            endpoint.idle_at = Some(self.now);
         }
     }
 
@@ -456,12 +463,12 @@
         if request.out() > 0 && self.now < request.until {
             return; // what is out may still be answered
         }
-        let harmless = match self.settings.classes[request.class].repeat {
-            Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => true,
+        let harmless = match self.settings.classes[request.class].idempotency {
+            Idempotency::Idempotent | Idempotency::Keyed { scope: Scope::All, .. } => true,
             _ => !request.attempts.iter().any(Attempt::may_have_run),
         };
         let retry_after = self.settings.limits.max_retry_after;
-        actions.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail { id } });
+        actions.push(if harmless { Action::Shed { id, retry_after } } else { Action::Fail { id } });
         self.close(id, actions);
     }
 
@@ -471,7 +478,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         if !request.done && self.settings.limits.cancel && !request.streaming {
             let out = request.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none());
-            actions.extend(out.map(|(i, _)| Action::Cancel { id, attempt: i as u32 }));
+            actions.extend(out.map(|(i, _)| Action::CancelAttempt { id, attempt: i as u32 }));
         }
         request.done = true;
         if request.out() == 0 {
@@ -486,10 +493,11 @@
         let terms = self.settings.classes[class].clone();
         // The timer comes a tick late at most, and the answer must be there before the client leaves.
         let deadline = self.now + new.remaining.saturating_sub(2 * self.settings.tick);
-        let stretch = new.cost.unwrap_or_default().mul_f64(terms.aim_stretch.clamp(0.0, 1e3));
-        let aim = (self.now + terms.aim + stretch).saturating_sub(self.spent(&new, class));
-        let until = if terms.late_worth > 0.0 { deadline } else { deadline.min(aim) };
-        let weight = self.weigh(new.cost);
+        let stretch = new.cost_hint.unwrap_or_default().mul_f64(terms.objective_stretch.clamp(0.0, 1e3));
+        let latency_objective =
+            (self.now + terms.latency_objective + stretch).saturating_sub(self.spent(&new, class));
+        let until = if terms.late_weight > 0.0 { deadline } else { deadline.min(latency_objective) };
+        let weight = self.weigh(new.cost_hint);
         self.arrived.add(self.now, self.memory(), weight);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(2.0 / RETRY_SHARE);
         let (value, probed) = (self.value(class, new.tenant), !self.probes_tell());
@@ -497,7 +505,7 @@
         self.requests.insert(new.id, request);
         // Hopeless even on a free server. Where most are idle it may try: hints are not exact.
         let most = until.saturating_sub(self.now) * if self.busy < 0.5 { 2 } else { 1 };
-        if new.cost.unwrap_or_default() >= most {
+        if new.cost_hint.unwrap_or_default() >= most {
             return self.finish(new.id, actions);
         }
         actions.push(Action::SetTimer { after: until - self.now, token: new.id.0 });
@@ -532,14 +540,15 @@
 
     /// A request's worth against that of the usual one. What the worst class weighs is spread over all.
     fn value(&mut self, class: usize, tenant: usize) -> f64 {
-        let rate = |tenant: &Tenant| tenant.allowance_per_s / f64::from(self.settings.nodes.max(1));
+        let rate = |tenant: &Tenant| tenant.quota_per_s / f64::from(self.settings.node_count.max(1));
         let (rate, now) = (self.settings.tenants.get(tenant).map_or(0.0, rate), self.now);
         let over = self.allowances.get_mut(tenant).is_some_and(|allowance| !allowance.take(now, rate));
-        let share = if over { self.settings.over_share_worth } else { 1.0 };
-        let (goal, worth) = (&self.settings.goal, self.settings.classes[class].worth * share);
-        self.usual_worth += (worth - self.usual_worth) * SMOOTH / 8.0;
+        let share = if over { self.settings.over_quota_weight } else { 1.0 };
+        let (goal, priority_weight) =
+            (&self.settings.goal, self.settings.classes[class].priority_weight * share);
+        self.usual_worth += (priority_weight - self.usual_worth) * SMOOTH / 8.0;
         let even = self.usual_worth * goal.worst_class / goal.whole.max(SMOOTH);
-        ((worth + even) / (self.usual_worth + even).max(1e-9)).clamp(0.0, 1e3)
+        ((priority_weight + even) / (self.usual_worth + even).max(1e-9)).clamp(0.0, 1e3)
     }
 
     fn on_request_timer(&mut self, id: RequestId, actions: &mut Vec<Action>) {
@@ -555,9 +564,9 @@
         }
     }
 
-    fn on_list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
+    fn on_list(&mut self, kind: ListKind, entries: Vec<EndpointEntry>) {
         if kind == ListKind::Failed {
-            let within = self.settings.rules.ask_within;
+            let within = self.settings.rules.poll_interval;
             self.ask_wait = (2 * self.ask_wait).clamp(REOPEN.min(within / 16), CALL_AGAIN.min(within / 2));
             self.ask_at = Some(self.now + self.ask_wait.mul_f64(0.5 + self.random() / 2.0));
             return;
@@ -568,32 +577,32 @@
         // One newly listed or restarted has the usual estimate: at zero all nodes would join it at once.
         let near = self.enough().min(self.order.len());
         let count =
-            self.ring().take(near).map(|id| self.servers[&id].count).sum::<u32>() / near.max(1) as u32;
-        if kind != ListKind::Changes {
-            self.servers.values_mut().for_each(|s| s.entry.state = ServerState::Gone);
+            self.ring().take(near).map(|id| self.endpoints[&id].count).sum::<u32>() / near.max(1) as u32;
+        if kind != ListKind::Delta {
+            self.endpoints.values_mut().for_each(|s| s.entry.state = EndpointState::Removed);
             self.order.clear();
         }
         for entry in entries {
-            let old = self.servers.remove(&entry.id).unwrap_or_default();
+            let old = self.endpoints.remove(&entry.id).unwrap_or_default();
             let same = old.entry.id == entry.id && old.entry.started == entry.started;
             let new = Server { out: old.out, drawn: self.now, count, ..Server::default() };
-            if entry.state != ServerState::Gone {
-                self.servers.insert(entry.id, Server { entry, ..if same { old } else { new } });
+            if entry.state != EndpointState::Removed {
+                self.endpoints.insert(entry.id, Server { entry, ..if same { old } else { new } });
             }
             match (self.order.binary_search_by_key(&scatter(entry.id), |id| scatter(*id)), entry.state) {
-                (Err(at), ServerState::Ready) => self.order.insert(at, entry.id),
-                (Ok(at), state) if state != ServerState::Ready => drop(self.order.remove(at)),
+                (Err(at), EndpointState::Ready) => self.order.insert(at, entry.id),
+                (Ok(at), state) if state != EndpointState::Ready => drop(self.order.remove(at)),
                 _ => {}
             }
         }
-        if kind != ListKind::Changes {
-            self.servers.retain(|_, s| s.entry.state != ServerState::Gone);
+        if kind != ListKind::Delta {
+            self.endpoints.retain(|_, s| s.entry.state != EndpointState::Removed);
         }
     }
 
     /// All nodes see the same ring of ready servers and start evenly spaced, so that each has as many nodes.
-    fn ring(&self) -> impl Iterator<Item = ServerId> + '_ {
-        let (node, nodes) = (self.settings.node as usize, self.settings.nodes.max(1) as usize);
+    fn ring(&self) -> impl Iterator<Item = EndpointId> + '_ {
+        let (node, nodes) = (self.settings.node_index as usize, self.settings.node_count.max(1) as usize);
         let (before, after) = self.order.split_at(node % nodes * self.order.len() / nodes);
         after.iter().chain(before).copied()
     }
@@ -601,10 +610,10 @@
     /// Where the list must be asked for: asks when it is time, and again if no answer came.
     fn on_tick(&mut self, actions: &mut Vec<Action>) {
         if self.ask_at.is_some_and(|at| self.now >= at) {
-            actions.push(Action::Subscribe { on: true });
-            self.ask_at = Some(self.now + TOLD_AFTER.min(self.settings.rules.ask_within / 2));
+            actions.push(Action::Subscribe { enabled: true });
+            self.ask_at = Some(self.now + TOLD_AFTER.min(self.settings.rules.poll_interval / 2));
         }
-        let after = (self.settings.rules.ask_within / 64).min(REOPEN / 2);
+        let after = (self.settings.rules.poll_interval / 64).min(REOPEN / 2);
         actions.push(Action::SetTimer { after, token: TICK });
     }
 }
--- a/crates/balancer/src/policy/probing.rs
+++ b/crates/balancer/src/policy/probing.rs
@@ -10,12 +10,12 @@
 
 impl Balancer {
     pub(super) fn probes_tell(&self) -> bool {
-        self.settings.reports == ReportSource::Probes && self.settings.limits.probes
+        self.settings.load_reports == LoadReportSource::HealthChecks && self.settings.limits.health_checks
     }
 
     /// The load that a probe told of lately, with own sends since.
-    pub(super) fn fresh_load(&self, server: &Server) -> Option<f64> {
-        server.load.filter(|&(_, at)| self.probes_tell() && self.fresh(at)).map(|(load, _)| load)
+    pub(super) fn fresh_load(&self, endpoint: &Server) -> Option<f64> {
+        endpoint.load.filter(|&(_, at)| self.probes_tell() && self.fresh(at)).map(|(load, _)| load)
     }
 
     /// A queue turns over within about one answer time; then news of it is old.
@@ -30,26 +30,26 @@
         let busy = self.busy.max(SMOOTH);
         let work = request.weight * if self.usual_cost > 0.0 { self.usual_cost } else { self.median };
         let left = (request.until.saturating_sub(self.now)).as_secs_f64().max(1e-6);
-        let stake = request.value * if self.settings.worth_by_work { request.weight } else { 1.0 };
+        let stake = request.value * if self.settings.weight_by_work { request.weight } else { 1.0 };
         // Where both are busy, the less busy one spares it half.
         let found = 1.0 - busy.powi(PROBES as i32) / 2.0;
-        stake * busy * (work / left).min(1.0) * found >= f64::from(PROBES) * self.settings.prices.probe
+        stake * busy * (work / left).min(1.0) * found >= f64::from(PROBES) * self.settings.prices.health_check
     }
 
     /// Probes a few of the servers at the cap, and holds the request meanwhile.
     pub(super) fn probe(
         &mut self,
         id: RequestId,
-        mut targets: Vec<ServerId>,
+        mut targets: Vec<EndpointId>,
         actions: &mut Vec<Action>,
     ) -> bool {
         for _ in 0..PROBES {
             let draw = (self.random() * targets.len() as f64) as usize;
             let Some(target) = targets.get(draw).copied() else { break };
             targets.retain(|t| *t != target);
-            self.servers.entry(target).and_modify(|s| s.probing = true);
+            self.endpoints.entry(target).and_modify(|s| s.probing = true);
             self.probes_out += 1;
-            actions.push(Action::Probe { server: target });
+            actions.push(Action::HealthCheck { endpoint: target });
         }
         if self.probes_out == 0 {
             return false;
@@ -61,11 +61,11 @@
         true
     }
 
-    pub(super) fn on_probed(&mut self, end: ProbeEnd, actions: &mut Vec<Action>) {
-        self.servers.entry(end.server).and_modify(|s| (s.probing, s.load) = (false, None));
-        self.on_report(end.server, end.report, end.outcome == Outcome::Served);
+    pub(super) fn on_probed(&mut self, end: HealthCheckEnd, actions: &mut Vec<Action>) {
+        self.endpoints.entry(end.endpoint).and_modify(|s| (s.probing, s.load) = (false, None));
+        self.on_report(end.endpoint, end.report, end.outcome == Outcome::Served);
         if end.outcome == Outcome::ConnectFailed {
-            self.judge(end.server, 1.0, 1.0);
+            self.judge(end.endpoint, 1.0, 1.0);
         }
         self.probes_out = self.probes_out.saturating_sub(1);
         let last = self.probes_out == 0;
--- a/crates/balancer/src/settings.rs
+++ b/crates/balancer/src/settings.rs
@@ -77,7 +77,7 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
-enum Idempotency {
+enum RawIdempotency {
     Free,
     Guarded,
     SingleShot,
@@ -126,7 +126,7 @@
     aim_stretch: f64,
     target: f64,
     give_up: f64,
-    idempotency: Idempotency,
+    idempotency: RawIdempotency,
     #[serde(default)]
     group: Group,
     #[serde(default)]
@@ -286,26 +286,26 @@
         return Err("bad settings: no classes".into());
     }
     let settings = Settings {
-        nodes: raw.n_instances.max(1),
-        node: raw.ordinal,
+        node_count: raw.n_instances.max(1),
+        node_index: raw.ordinal,
         zone: raw.zone,
         classes: raw.classes.iter().map(class).collect(),
         tenants: raw
             .projects
             .iter()
-            .map(|t| Tenant { allowance_per_s: t.allowance_per_s, share: t.share })
+            .map(|t| Tenant { quota_per_s: t.allowance_per_s, quota_share: t.share })
             .collect(),
-        over_share_worth: raw.over_share_worth,
-        worth_by_work: matches!(raw.counted_by, CountedBy::Work),
-        reports: match raw.load_report.via {
-            Via::Piggyback => ReportSource::Answers,
-            Via::Pull => ReportSource::Probes,
-            Via::Silent => ReportSource::None,
+        over_quota_weight: raw.over_share_worth,
+        weight_by_work: matches!(raw.counted_by, CountedBy::Work),
+        load_reports: match raw.load_report.via {
+            Via::Piggyback => LoadReportSource::Responses,
+            Via::Pull => LoadReportSource::HealthChecks,
+            Via::Silent => LoadReportSource::None,
         },
         limits: limits(&raw.permissions),
         rules: rules(&raw.rules),
         prices: Prices {
-            probe: raw.prices.probe,
+            health_check: raw.prices.probe,
             cross_zone: raw.prices.cross_zone,
             waste: raw.prices.waste,
             late_failure: raw.prices.late_fail,
@@ -317,7 +317,7 @@
             worst_class: raw.goal.worst_class,
             worst_tenant: raw.goal.worst_tenant,
         },
-        list_on_request: matches!(raw.registry_mode, Mode::Ask),
+        poll_endpoints: matches!(raw.registry_mode, Mode::Ask),
         tick: millis(raw.quantum),
     };
     Ok(Site {
@@ -331,22 +331,22 @@
     })
 }
 
-fn class(raw: &RawClass) -> Class {
+fn class(raw: &RawClass) -> RequestClass {
     let scope = match raw.group {
         Group::All => Scope::All,
         Group::Zone => Scope::Zone,
         Group::Cell => Scope::Cell,
     };
-    Class {
-        aim: millis(raw.target),
-        aim_stretch: raw.aim_stretch,
+    RequestClass {
+        latency_objective: millis(raw.target),
+        objective_stretch: raw.aim_stretch,
         deadline: millis(raw.give_up),
-        worth: raw.credit,
-        late_worth: raw.late_worth,
-        repeat: match raw.idempotency {
-            Idempotency::Free => Repeat::Safe,
-            Idempotency::Guarded => Repeat::Keyed { scope, window: millis(raw.window) },
-            Idempotency::SingleShot => Repeat::Unsafe,
+        priority_weight: raw.credit,
+        late_weight: raw.late_worth,
+        idempotency: match raw.idempotency {
+            RawIdempotency::Free => Idempotency::Idempotent,
+            RawIdempotency::Guarded => Idempotency::Keyed { scope, window: millis(raw.window) },
+            RawIdempotency::SingleShot => Idempotency::NotIdempotent,
         },
         streamed: raw.stream,
     }
@@ -356,7 +356,7 @@
     Limits {
         max_attempts: raw.attempts_cap,
         cancel: raw.cancel,
-        probes: raw.probes,
+        health_checks: raw.probes,
         parallel_attempts: raw.parallel_tries,
         max_retry_after: raw.retry_after.then(|| millis(raw.max_retry_after)),
         connect_timeout: millis(raw.connect_timeout),
@@ -366,10 +366,10 @@
 fn rules(raw: &RawRules) -> Rules {
     Rules {
         drain_grace: millis(raw.drain_grace),
-        cold_share: raw.cold_from,
-        warm_after: millis(raw.ramp_time),
+        initial_capacity: raw.cold_from,
+        slow_start_window: millis(raw.ramp_time),
         overload_factor: raw.overload_factor,
-        overload_time: millis(raw.tip_after),
-        ask_within: millis(raw.must_ask_in),
+        overload_window: millis(raw.tip_after),
+        poll_interval: millis(raw.must_ask_in),
     }
 }
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -8,7 +8,7 @@
 /// What a node knows of a server.
 #[derive(Default)]
 pub struct Server {
-    pub entry: ServerEntry,
+    pub entry: EndpointEntry,
     /// Join-Up-To(m)'s estimate: own sends since it last showed idle.
     pub count: u32,
     pub idle_at: Option<Duration>,
@@ -30,7 +30,7 @@
 
 /// An attempt, and how it ended.
 pub struct Attempt {
-    pub to: ServerEntry,
+    pub to: EndpointEntry,
     pub sent: Duration,
     /// Until when this node waits for it.
     pub ends: Duration,
@@ -109,9 +109,9 @@
     pub(crate) now: Duration,
     /// When its first event came.
     pub(crate) started: Duration,
-    pub(crate) servers: BTreeMap<ServerId, Server>,
+    pub(crate) endpoints: BTreeMap<EndpointId, Server>,
     /// The ready servers, in the order of their ring.
-    pub(crate) order: Vec<ServerId>,
+    pub(crate) order: Vec<EndpointId>,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     /// Requests held for probes, in the order of arrival.
     pub(crate) held: Vec<RequestId>,
@@ -158,7 +158,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TableSizes {
     /// Listed servers.
-    pub servers: usize,
+    pub endpoints: usize,
     /// Requests that are owed an answer or have an attempt out.
     pub requests: usize,
     /// Those of them that are held until a probe has been answered.
@@ -168,7 +168,7 @@
 impl Balancer {
     /// How many entries its tables hold. Servers leave with the list, requests with their last outcome.
     pub fn table_sizes(&self) -> TableSizes {
-        TableSizes { servers: self.servers.len(), requests: self.requests.len(), held: self.held.len() }
+        TableSizes { endpoints: self.endpoints.len(), requests: self.requests.len(), held: self.held.len() }
     }
 
     /// Nothing known yet.
@@ -177,7 +177,7 @@
             rng,
             now: Default::default(),
             started: Default::default(),
-            servers: Default::default(),
+            endpoints: Default::default(),
             order: Default::default(),
             requests: Default::default(),
             held: Default::default(),
@@ -187,7 +187,7 @@
             median: Default::default(),
             failing: Default::default(),
             usual_cost: Default::default(),
-            usual_worth: settings.classes.iter().map(|c| c.worth).sum::<f64>()
+            usual_worth: settings.classes.iter().map(|c| c.priority_weight).sum::<f64>()
                 / settings.classes.len().max(1) as f64,
             sends: Default::default(),
             idle_signs: Default::default(),
--- a/crates/balancer/tests/action_digest.rs
+++ b/crates/balancer/tests/action_digest.rs
@@ -12,17 +12,17 @@
 /// The settings of one kind of site, with cold servers and two tenants.
 fn site(base: Settings, nodes_see_prices: bool) -> Settings {
     let mut settings = base;
-    settings.rules.cold_share = 0.3;
-    settings.rules.warm_after = ms(8_500);
+    settings.rules.initial_capacity = 0.3;
+    settings.rules.slow_start_window = ms(8_500);
     settings.rules.overload_factor = 4.0;
     settings.tenants =
-        vec![Tenant { allowance_per_s: 100.0, share: 0.5 }, Tenant { allowance_per_s: 10.0, share: 0.1 }];
-    settings.over_share_worth = 0.1;
+        vec![Tenant { quota_per_s: 100.0, quota_share: 0.5 }, Tenant { quota_per_s: 10.0, quota_share: 0.1 }];
+    settings.over_quota_weight = 0.1;
     settings.goal.worst_class = 0.1;
     settings.limits.max_retry_after = Some(ms(2_000));
     if nodes_see_prices {
         settings.prices.connections = 0.2;
-        settings.worth_by_work = true;
+        settings.weight_by_work = true;
     }
     settings
 }
@@ -61,7 +61,7 @@
 
 #[test]
 fn lists_asked_for_and_loads_told_by_probes() {
-    let settings = Settings { list_on_request: true, ..site(probing(), false) };
+    let settings = Settings { poll_endpoints: true, ..site(probing(), false) };
     assert_eq!(
         digests(&settings),
         [
@@ -88,7 +88,7 @@
 
 #[test]
 fn lists_asked_for_and_no_loads_told() {
-    let settings = Settings { list_on_request: true, ..site(settings(), false) };
+    let settings = Settings { poll_endpoints: true, ..site(settings(), false) };
     assert_eq!(
         digests(&settings),
         [
@@ -105,7 +105,7 @@
     let mut settings = site(answering(), false);
     settings.limits.parallel_attempts = false;
     settings.limits.cancel = false;
-    settings.classes.iter_mut().for_each(|class| class.late_worth = 0.3);
+    settings.classes.iter_mut().for_each(|class| class.late_weight = 0.3);
     assert_eq!(
         digests(&settings),
         [
--- a/crates/balancer/tests/decisions.rs
+++ b/crates/balancer/tests/decisions.rs
@@ -9,18 +9,18 @@
 
 fn sent_to(actions: &[Action]) -> Vec<u64> {
     let send = |action: &Action| match action {
-        Action::Send { server, .. } => Some(server.0),
+        Action::StartAttempt { endpoint, .. } => Some(endpoint.0),
         _ => None,
     };
     actions.iter().filter_map(send).collect()
 }
 
 fn probed(actions: &[Action]) -> usize {
-    actions.iter().filter(|a| matches!(a, Action::Probe { .. })).count()
+    actions.iter().filter(|a| matches!(a, Action::HealthCheck { .. })).count()
 }
 
 fn refused(actions: &[Action]) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+    actions.iter().any(|a| matches!(a, Action::Shed { .. }))
 }
 
 fn failed(actions: &[Action]) -> bool {
@@ -43,7 +43,7 @@
 fn every_server_gets_one_before_any_gets_two() {
     for seed in 0..20 {
         let mut world = World::seeded(answering(), seed);
-        world.list(ListKind::Full, (0..5).map(entry).collect());
+        world.list(ListKind::Snapshot, (0..5).map(entry).collect());
         let mut met: Vec<u64> = (0..5).flat_map(|_| sent_to(&world.request(0).1)).collect();
         met.sort();
         assert_eq!(met, [0, 1, 2, 3, 4]);
@@ -54,7 +54,7 @@
 fn ties_are_broken_at_random() {
     let first: BTreeMap<u64, u32> = (0..200).fold(BTreeMap::new(), |mut seen, seed| {
         let mut world = World::seeded(answering(), seed);
-        world.list(ListKind::Full, (0..4).map(entry).collect());
+        world.list(ListKind::Snapshot, (0..4).map(entry).collect());
         *seen.entry(sent_to(&world.request(0).1)[0]).or_default() += 1;
         seen
     });
@@ -82,7 +82,7 @@
     let cases = failures.iter().flat_map(|outcome| [(*outcome, None), (*outcome, Some(0.0))]);
     for ((outcome, report), seed) in cases.flat_map(|case| (0..20).map(move |seed| (case, seed))) {
         let mut world = World::seeded(answering(), seed);
-        world.list(ListKind::Full, (0..2).map(entry).collect());
+        world.list(ListKind::Snapshot, (0..2).map(entry).collect());
         let (id, actions) = world.request(1);
         let first = sent_to(&actions);
         world.end(id, 0, outcome, report);
@@ -132,7 +132,7 @@
     assert!(probed(&actions) > 0 && sent_to(&actions).is_empty(), "{actions:?}");
     world.pass(ms(1));
     world.answer_probes(&[2]);
-    assert_eq!(world.server_of(id, 0), ServerId(2));
+    assert_eq!(world.server_of(id, 0), EndpointId(2));
 }
 
 #[test]
@@ -147,7 +147,7 @@
 fn dear_probes_are_spent_on_the_requests_with_most_at_stake() {
     let probes_for = |price: f64, idle: &[u64]| {
         let mut settings = probing();
-        (settings.nodes, settings.worth_by_work, settings.prices.probe) = (100, true, price);
+        (settings.node_count, settings.weight_by_work, settings.prices.health_check) = (100, true, price);
         let mut world = World::with_servers(settings, 8);
         let (mut light, mut heavy) = (0, 0);
         for i in 0..120 {
@@ -262,7 +262,7 @@
     let mut world = World::new(answering());
     let (id, _) = world.request(1);
     world.pass(ms(401));
-    assert!(world.log.iter().any(|a| matches!(a, Action::Refuse { id: it, .. } if *it == id)));
+    assert!(world.log.iter().any(|a| matches!(a, Action::Shed { id: it, .. } if *it == id)));
 }
 
 #[test]
@@ -270,9 +270,9 @@
     let mut world = World::new(answering());
     let (id, _) = world.request(1);
     world.pass(ms(50));
-    world.list(ListKind::Changes, vec![entry(1)]);
+    world.list(ListKind::Delta, vec![entry(1)]);
     world.pass(ms(50));
-    assert_eq!(world.server_of(id, 0), ServerId(1));
+    assert_eq!(world.server_of(id, 0), EndpointId(1));
 }
 
 #[test]
@@ -280,24 +280,24 @@
     let mut world = World::with_servers(answering(), 2);
     let (id, _) = world.request(1);
     world.client_leaves(id);
-    assert!(world.tell(Event::ClientGone { id }).is_empty());
+    assert!(world.tell(Event::ClientDisconnected { id }).is_empty());
     world.pass(ms(1));
     assert!(world.out().is_empty());
     assert!(world.tell(Event::Timer { token: id.0 }).is_empty());
-    let server = ServerId(77);
-    let end = ProbeEnd { server, outcome: Outcome::Served, elapsed: ms(1), report: None };
-    assert!(world.tell(Event::Probed(end)).is_empty());
+    let endpoint = EndpointId(77);
+    let end = HealthCheckEnd { endpoint, outcome: Outcome::Served, elapsed: ms(1), report: None };
+    assert!(world.tell(Event::HealthChecked(end)).is_empty());
     let ended = AttemptEnd {
         id,
         attempt: 0,
-        server,
+        endpoint,
         outcome: Outcome::Served,
         elapsed: ms(1),
         finished: true,
         report: None,
     };
     assert!(world.tell(Event::AttemptEnded(ended)).is_empty());
-    assert!(world.tell(Event::Started { id, attempt: 0, server }).is_empty());
+    assert!(world.tell(Event::StreamStarted { id, attempt: 0, endpoint }).is_empty());
 }
 
 #[test]
@@ -323,9 +323,9 @@
         world.request(1);
         world.pass(ms(30));
         for (id, attempt) in world.out() {
-            let server = world.server_of(id, attempt).0;
-            *met.entry(server).or_insert(0) += 1;
-            world.end(id, attempt, ends(server), Some(0.0));
+            let endpoint = world.server_of(id, attempt).0;
+            *met.entry(endpoint).or_insert(0) += 1;
+            world.end(id, attempt, ends(endpoint), Some(0.0));
         }
     }
     met
@@ -334,14 +334,14 @@
 #[test]
 fn a_server_that_answers_fast_with_errors_wins_nothing() {
     let mut world = World::with_servers(answering(), 4);
-    let met = play(&mut world, 400, |server| if server == 0 { Outcome::Error } else { Outcome::Served });
+    let met = play(&mut world, 400, |endpoint| if endpoint == 0 { Outcome::Error } else { Outcome::Served });
     assert!(met[&0] < 20, "{met:?}");
 }
 
 #[test]
 fn an_ejected_server_comes_back_by_trial() {
     let mut world = World::with_servers(answering(), 4);
-    play(&mut world, 100, |server| if server == 0 { Outcome::ConnectFailed } else { Outcome::Served });
+    play(&mut world, 100, |endpoint| if endpoint == 0 { Outcome::ConnectFailed } else { Outcome::Served });
     world.pass(ms(20_000));
     let met = play(&mut world, 100, |_| Outcome::Served);
     assert!(met[&0] > 10, "{met:?}");
@@ -372,9 +372,9 @@
         world.request(1);
         world.pass(ms(30));
         for (id, attempt) in world.out() {
-            let server = world.server_of(id, attempt).0;
-            if server != 0 {
-                *met.entry(server).or_insert(0) += 1;
+            let endpoint = world.server_of(id, attempt).0;
+            if endpoint != 0 {
+                *met.entry(endpoint).or_insert(0) += 1;
                 world.end(id, attempt, Outcome::Served, Some(0.0));
             }
         }
@@ -388,9 +388,9 @@
 #[test]
 fn a_full_list_takes_away_what_it_omits_and_servers_may_return() {
     let mut world = World::with_servers(answering(), 3);
-    world.list(ListKind::Full, vec![entry(1)]);
+    world.list(ListKind::Snapshot, vec![entry(1)]);
     assert!((0..10).all(|_| sent_to(&world.request(0).1).iter().all(|s| *s == 1)));
-    world.list(ListKind::Changes, vec![entry(2), ServerEntry { state: ServerState::Draining, ..entry(1) }]);
+    world.list(ListKind::Delta, vec![entry(2), EndpointEntry { state: EndpointState::Draining, ..entry(1) }]);
     assert_eq!(sent_to(&world.request(0).1), [2]);
 }
 
@@ -399,10 +399,10 @@
     // Ten warm servers carry 100 requests a second of three nodes, so a warm one has at least 10 a second.
     let mut settings = answering();
     settings.rules = Rules {
-        cold_share: 0.2,
-        warm_after: ms(10_000),
+        initial_capacity: 0.2,
+        slow_start_window: ms(10_000),
         overload_factor: 4.0,
-        overload_time: ms(1500),
+        overload_window: ms(1500),
         ..settings.rules
     };
     let mut world = World::with_servers(settings, 10);
@@ -410,7 +410,7 @@
     for step in 0..1500u64 {
         if step == 700 {
             let started = Some(world.now);
-            world.list(ListKind::Changes, vec![ServerEntry { started, ..entry(10) }]);
+            world.list(ListKind::Delta, vec![EndpointEntry { started, ..entry(10) }]);
         }
         let (_, actions) = world.request(0);
         cold.extend(sent_to(&actions).iter().filter(|s| **s == 10).map(|_| world.now));
@@ -429,20 +429,21 @@
 #[test]
 fn all_servers_cold_at_once_still_serve() {
     let mut settings = answering();
-    settings.rules = Rules { cold_share: 0.3, warm_after: ms(10_000), ..settings.rules };
+    settings.rules = Rules { initial_capacity: 0.3, slow_start_window: ms(10_000), ..settings.rules };
     let mut world = World::with_servers(settings, 5);
     play(&mut world, 300, |_| Outcome::Served);
     let started = Some(world.now);
-    world.list(ListKind::Full, (0..5).map(|n| ServerEntry { started, ..entry(n) }).collect());
+    world.list(ListKind::Snapshot, (0..5).map(|n| EndpointEntry { started, ..entry(n) }).collect());
     let met = play(&mut world, 100, |_| Outcome::Served);
     assert!(met.values().sum::<usize>() > 20, "{met:?}"); // they can do three tenths
 }
 
 #[test]
 fn where_the_list_must_be_asked_for_it_is_asked_for_and_a_failed_call_is_repeated() {
-    let asks =
-        |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Subscribe { on: true })).count();
-    let mut world = World::new(Settings { list_on_request: true, ..answering() });
+    let asks = |actions: &[Action]| {
+        actions.iter().filter(|a| matches!(a, Action::Subscribe { enabled: true })).count()
+    };
+    let mut world = World::new(Settings { poll_endpoints: true, ..answering() });
     world.list(ListKind::Cached, vec![entry(0)]);
     world.pass(ms(3000));
     assert_eq!(asks(&world.log), 1);
@@ -453,7 +454,7 @@
         assert!(asks(&world.log[before..]) >= 1);
         assert!(asks(&world.log[before..]) <= 2, "calls jam the list's service");
     }
-    world.list(ListKind::Full, vec![entry(0)]);
+    world.list(ListKind::Snapshot, vec![entry(0)]);
     let before = world.log.len();
     world.pass(ms(60_000));
     assert_eq!(asks(&world.log[before..]), 0, "a subscription needs no calls");
@@ -463,15 +464,15 @@
 #[test]
 fn a_broken_watch_is_opened_anew_soon_however_long_the_site_lets_a_node_go_without() {
     for within in [5_000, 20_000, 120_000] {
-        let mut settings = Settings { list_on_request: true, ..answering() };
-        settings.rules.ask_within = ms(within);
+        let mut settings = Settings { poll_endpoints: true, ..answering() };
+        settings.rules.poll_interval = ms(within);
         for seed in 0..10 {
             let mut world = World::seeded(settings.clone(), seed);
             world.list(ListKind::Cached, vec![entry(0)]);
             world.pass(ms(within / 2));
-            world.list(ListKind::Full, vec![entry(0)]);
+            world.list(ListKind::Snapshot, vec![entry(0)]);
             let asked = |world: &World| {
-                world.log.iter().filter(|a| matches!(a, Action::Subscribe { on: true })).count()
+                world.log.iter().filter(|a| matches!(a, Action::Subscribe { enabled: true })).count()
             };
             let before = asked(&world);
             world.list(ListKind::Failed, vec![]);
@@ -485,8 +486,8 @@
 #[test]
 fn a_tenant_beyond_its_share_is_refused_first() {
     let mut settings = answering();
-    settings.tenants = vec![Tenant { allowance_per_s: 30.0, share: 0.5 }; 2];
-    settings.over_share_worth = 0.1;
+    settings.tenants = vec![Tenant { quota_per_s: 30.0, quota_share: 0.5 }; 2];
+    settings.over_quota_weight = 0.1;
     let mut world = World::with_servers(settings, 2);
     // Tenant 0 floods, tenant 1 keeps to its share; nothing crowded comes back in time.
     let mut refusals = [0, 0];
@@ -539,17 +540,17 @@
 
 #[test]
 fn odd_settings_lead_to_legal_and_sensible_actions() {
-    let one_node = Settings { nodes: 1, ..probing() };
+    let one_node = Settings { node_count: 1, ..probing() };
     let free_probes = Settings { prices: Prices::default(), ..probing() };
     let mut blind = probing();
-    blind.limits.probes = false;
+    blind.limits.health_checks = false;
     let silent = settings();
     let mut never_cold = answering();
-    never_cold.rules = Rules { cold_share: 1.0, warm_after: ms(0), ..never_cold.rules };
+    never_cold.rules = Rules { initial_capacity: 1.0, slow_start_window: ms(0), ..never_cold.rules };
     for settings in [one_node, free_probes, blind, silent, never_cold] {
         let mut world = World::new(settings);
         let started = Some(world.now);
-        world.list(ListKind::Full, (0..4).map(|n| ServerEntry { started, ..entry(n) }).collect());
+        world.list(ListKind::Snapshot, (0..4).map(|n| EndpointEntry { started, ..entry(n) }).collect());
         let mut served = 0;
         for _ in 0..100 {
             world.request(1);
@@ -576,11 +577,11 @@
         world.pass(ms(20));
         // The frozen server answers too late for most; the others are in time.
         for (id, attempt) in world.out() {
-            let server = world.server_of(id, attempt).0;
-            if server != 0 || step % 40 == 0 {
+            let endpoint = world.server_of(id, attempt).0;
+            if endpoint != 0 || step % 40 == 0 {
                 world.end(id, attempt, Outcome::Served, None);
             }
-            *met.entry(server).or_insert(0) += usize::from(world.age(id) < ms(25));
+            *met.entry(endpoint).or_insert(0) += usize::from(world.age(id) < ms(25));
         }
     }
     assert!(met[&0] < 200, "{met:?}");
@@ -607,7 +608,7 @@
 fn a_repeat_whose_aim_has_passed_is_refused_and_costs_no_server_anything() {
     // The danger: clients that gave up come again, and work for answers worth nothing keeps a jam alive.
     let mut world = World::with_servers(answering(), 4);
-    let repeat = |world: &mut World, left: u64| {
+    let idempotency = |world: &mut World, left: u64| {
         let mut new = NewRequest {
             id: RequestId(1_000_000 + left),
             class: 0,
@@ -618,10 +619,10 @@
         world.take(new)
     };
     world.request_with(0, 0, ms(450), None); // a first try waits for 450 of the 1000 ms
-    assert!(refused(&repeat(&mut world, 550)), "450 ms have gone by, the aim is 400");
-    assert_eq!(sent_to(&repeat(&mut world, 650)).len(), 1, "350 ms have gone by");
+    assert!(refused(&idempotency(&mut world, 550)), "450 ms have gone by, the aim is 400");
+    assert_eq!(sent_to(&idempotency(&mut world, 650)).len(), 1, "350 ms have gone by");
     assert_eq!(
-        sent_to(&repeat(&mut world, 449)).len(),
+        sent_to(&idempotency(&mut world, 449)).len(),
         1,
         "like a first try: it may have been refused at once"
     );
@@ -655,10 +656,10 @@
 fn trials_of_ejected_servers_take_a_small_part_of_the_requests() {
     // The danger: a quiet node with several dead servers sends most of its requests there on trial.
     let mut world = World::with_servers(answering(), 8);
-    let dead = |server: u64| if server < 3 { Outcome::ConnectFailed } else { Outcome::Served };
+    let dead = |endpoint: u64| if endpoint < 3 { Outcome::ConnectFailed } else { Outcome::Served };
     play(&mut world, 100, dead);
     let met = play(&mut world, 400, dead);
-    let trials: usize = (0..3).map(|server| met.get(&server).copied().unwrap_or(0)).sum();
+    let trials: usize = (0..3).map(|endpoint| met.get(&endpoint).copied().unwrap_or(0)).sum();
     assert!((1..60).contains(&trials), "{met:?}");
 }
 
@@ -666,7 +667,7 @@
 fn in_a_jam_the_worth_more_is_taken_first() {
     // The danger: a share of all alike is refused, and with it most of the worth.
     let mut settings = answering();
-    settings.classes[1].worth = 10.0;
+    settings.classes[1].priority_weight = 10.0;
     let mut world = World::with_servers(settings, 4);
     let mut sent = [0, 0];
     for step in 0..600 {
@@ -692,8 +693,11 @@
             play(&mut world, 100, |_| Outcome::Served); // answers take 30 ms
             let (id, _) = world.request(class);
             world.pass(ms(if parallel { 200 } else { 390 }));
-            let tries =
-                world.log.iter().filter(|a| matches!(a, Action::Send { id: i, .. } if *i == id)).count();
+            let tries = world
+                .log
+                .iter()
+                .filter(|a| matches!(a, Action::StartAttempt { id: i, .. } if *i == id))
+                .count();
             assert_eq!(tries > 1, further, "class {class}, parallel {parallel}: {tries} attempts");
         }
     }
@@ -726,7 +730,7 @@
     }
     let mut first = 0;
     for number in 100..140 {
-        world.list(ListKind::Changes, vec![entry(number)]);
+        world.list(ListKind::Delta, vec![entry(number)]);
         first += usize::from(serve(&mut world, 1.0) == number);
     }
     assert!(first < 20, "{first} of 40 new servers were joined at once");
@@ -765,14 +769,14 @@
 fn where_connections_have_a_price_a_node_keeps_to_a_few_servers_and_all_get_their_share() {
     // The danger: each node connects to each server, and most connects fail.
     let mut settings = answering();
-    (settings.nodes, settings.prices.connections) = (40, 0.1);
+    (settings.node_count, settings.prices.connections) = (40, 0.1);
     let mut nodes_of = BTreeMap::new();
     for node in 0..40 {
-        let mut world = World::seeded(Settings { node, ..settings.clone() }, node.into());
-        world.list(ListKind::Full, (0..20).map(entry).collect());
+        let mut world = World::seeded(Settings { node_index: node, ..settings.clone() }, node.into());
+        world.list(ListKind::Snapshot, (0..20).map(entry).collect());
         let met: std::collections::BTreeSet<u64> = (0..100).map(|_| serve(&mut world, 1.0)).collect();
         assert!((2..=5).contains(&met.len()), "{met:?}");
-        met.into_iter().for_each(|server| *nodes_of.entry(server).or_insert(0) += 1);
+        met.into_iter().for_each(|endpoint| *nodes_of.entry(endpoint).or_insert(0) += 1);
     }
     let (fewest, most) = (nodes_of.values().min(), nodes_of.values().max());
     assert!(nodes_of.len() == 20 && fewest == most, "{nodes_of:?}");
@@ -851,10 +855,10 @@
 fn servers_that_cannot_be_reached_are_left_alone_however_many_they_are() {
     // The danger: half of the servers stay in use whatever happens, though this node reaches only a few.
     let mut world = World::with_servers(answering(), 10);
-    let reach = |server: u64| if server < 2 { Outcome::Served } else { Outcome::ConnectFailed };
+    let reach = |endpoint: u64| if endpoint < 2 { Outcome::Served } else { Outcome::ConnectFailed };
     play(&mut world, 200, reach);
     let met = play(&mut world, 200, reach);
-    let reached: usize = (0..2).map(|server| met.get(&server).copied().unwrap_or(0)).sum();
+    let reached: usize = (0..2).map(|endpoint| met.get(&endpoint).copied().unwrap_or(0)).sum();
     assert!(reached > 150, "{met:?}");
 }
 
@@ -900,8 +904,8 @@
     // The danger: where one class takes a second, nothing that a quick class loses within that is ever seen.
     let mut settings = answering();
     settings.limits.parallel_attempts = false;
-    (settings.classes[0].aim, settings.classes[0].deadline) = (ms(100), ms(100));
-    (settings.classes[1].aim, settings.classes[1].deadline) = (ms(4000), ms(4000));
+    (settings.classes[0].latency_objective, settings.classes[0].deadline) = (ms(100), ms(100));
+    (settings.classes[1].latency_objective, settings.classes[1].deadline) = (ms(4000), ms(4000));
     let mut world = World::with_servers(settings, 12);
     let held = held_back(&mut world, 400, |world, _| {
         let (slow, _) = world.request_with(1, 0, ms(4000), None);
@@ -923,7 +927,7 @@
     let mut settings = answering();
     settings.limits.parallel_attempts = false;
     let held = |nodes: u32| {
-        let mut world = World::with_servers(Settings { nodes, ..settings.clone() }, 1);
+        let mut world = World::with_servers(Settings { node_count: nodes, ..settings.clone() }, 1);
         held_back(&mut world, 400, |world, n| {
             let (first, actions) = world.request(1);
             world.request(1);
@@ -950,7 +954,7 @@
     // The danger: what is worth most is tried so often, by all nodes, that the servers never get out of the jam.
     let mut settings = answering();
     settings.limits.parallel_attempts = false;
-    (settings.classes[0].worth, settings.classes[1].worth) = (12.0, 1.0);
+    (settings.classes[0].priority_weight, settings.classes[1].priority_weight) = (12.0, 1.0);
     let mut world = World::with_servers(settings, 4);
     let late = |world: &mut World, n: usize| {
         let (_, actions) = world.request(usize::from(n % 4 > 0));
@@ -968,14 +972,15 @@
 /// Whatever a request waits for when its client leaves, nothing of it is sent any more.
 #[test]
 fn nothing_is_sent_for_a_client_that_has_gone() {
-    let sends = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Send { .. })).count();
+    let sends =
+        |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::StartAttempt { .. })).count();
     // Queued for want of a server, which is listed just then.
     let mut world = World::new(answering());
-    world.list(ListKind::Full, vec![]);
+    world.list(ListKind::Snapshot, vec![]);
     let (queued, _) = world.request(0);
     world.client_leaves(queued);
     let before = world.log.len();
-    world.list(ListKind::Full, (0..4).map(entry).collect());
+    world.list(ListKind::Snapshot, (0..4).map(entry).collect());
     world.pass(ms(2000));
     assert_eq!(sends(&world.log[before..]), 0, "queued");
 
--- a/crates/balancer/tests/memory.rs
+++ b/crates/balancer/tests/memory.rs
@@ -20,8 +20,9 @@
     for number in requests {
         let now = ms(1000) + Duration::from_micros(number * 1500);
         if number % 10 == 0 {
-            let servers = number / 10..number / 10 + 4;
-            let list = Event::List { kind: ListKind::Full, entries: servers.map(entry).collect() };
+            let endpoints = number / 10..number / 10 + 4;
+            let list =
+                Event::EndpointList { kind: ListKind::Snapshot, entries: endpoints.map(entry).collect() };
             balancer.handle(now, list, &mut actions);
         }
         let id = RequestId(number);
@@ -31,7 +32,7 @@
             tenant: 0,
             key: number,
             remaining: ms(900),
-            cost: None,
+            cost_hint: None,
             client_retry: false,
         };
         balancer.handle(now, Event::Request(new), &mut actions);
@@ -39,11 +40,14 @@
             let report = Some(LoadReport { in_flight: Some(0.0), ..LoadReport::default() });
             let (outcome, elapsed) = (Outcome::Served, ms(1));
             let event = match action {
-                Action::Send { id, server, .. } => {
-                    let end = AttemptEnd { id, attempt: 0, server, outcome, elapsed, finished: true, report };
+                Action::StartAttempt { id, endpoint, .. } => {
+                    let end =
+                        AttemptEnd { id, attempt: 0, endpoint, outcome, elapsed, finished: true, report };
                     Event::AttemptEnded(end)
                 }
-                Action::Probe { server } => Event::Probed(ProbeEnd { server, outcome, elapsed, report }),
+                Action::HealthCheck { endpoint } => {
+                    Event::HealthChecked(HealthCheckEnd { endpoint, outcome, elapsed, report })
+                }
                 _ => continue,
             };
             balancer.handle(now, event, &mut actions);
--- a/crates/balancer/tests/properties.rs
+++ b/crates/balancer/tests/properties.rs
@@ -71,18 +71,20 @@
                 let now = world.now;
                 let lines = lines.iter().map(|(number, state, restarted)| {
                     let state = match state {
-                        0 => ServerState::Gone,
-                        1 => ServerState::Draining,
-                        _ => ServerState::Ready,
+                        0 => EndpointState::Removed,
+                        1 => EndpointState::Draining,
+                        _ => EndpointState::Ready,
                     };
                     let started = restarted.then_some(now);
-                    ServerEntry { state, started, ..entry(*number) }
+                    EndpointEntry { state, started, ..entry(*number) }
                 });
-                let kind = if *full { ListKind::Full } else { ListKind::Changes };
-                let lines = lines.filter(|e| !full || e.state != ServerState::Gone).collect();
+                let kind = if *full { ListKind::Snapshot } else { ListKind::Delta };
+                let lines = lines.filter(|e| !full || e.state != EndpointState::Removed).collect();
                 world.list(kind, lines);
             }
-            Step::Fail => drop(world.tell(Event::List { kind: ListKind::Failed, entries: Vec::new() })),
+            Step::Fail => {
+                drop(world.tell(Event::EndpointList { kind: ListKind::Failed, entries: Vec::new() }))
+            }
             Step::Pass { time } => world.pass(ms(*time)),
         }
     }
@@ -108,8 +110,8 @@
     #[test]
     fn the_rules_hold_with_reports_from_probes(seed: u64, steps in prop::collection::vec(step(), 1..120)) {
         let mut settings = probing();
-        settings.rules.cold_share = 0.2;
-        settings.rules.warm_after = ms(5000);
+        settings.rules.initial_capacity = 0.2;
+        settings.rules.slow_start_window = ms(5000);
         settings.rules.drain_grace = ms(0);
         prop_assert_eq!(play(settings.clone(), seed, &steps), play(settings, seed, &steps));
     }
@@ -119,7 +121,7 @@
         let mut settings = answering();
         settings.limits.parallel_attempts = false;
         settings.rules.drain_grace = ms(0);
-        settings.list_on_request = true;
+        settings.poll_endpoints = true;
         play(settings, seed, &steps);
     }
 
@@ -127,7 +129,7 @@
     fn the_rules_hold_where_little_is_allowed(seed: u64, steps in prop::collection::vec(step(), 1..120)) {
         let mut settings = settings();
         settings.limits = Limits { max_attempts: 1, cancel: false, ..Settings::default().limits };
-        settings.nodes = 1;
+        settings.node_count = 1;
         settings.rules.drain_grace = ms(0);
         play(settings, seed, &steps);
     }
@@ -136,36 +138,36 @@
 /// Rule 4, by an account of its own. This node is the only one with traffic, so the whole allowance of a cold
 /// server is its to keep: multiple x present capacity x span, with one request of slack.
 fn cold_server_is_spared(seed: u64, arrivals: &[(usize, u64)]) -> Result<(), TestCaseError> {
-    const COLD: ServerId = ServerId(9);
+    const COLD: EndpointId = EndpointId(9);
     let work = ms(20); // so a warm server's capacity is 50 requests a second
     let mut settings = answering();
-    settings.rules.cold_share = 0.05;
-    settings.rules.warm_after = ms(20_000);
+    settings.rules.initial_capacity = 0.05;
+    settings.rules.slow_start_window = ms(20_000);
     settings.rules.overload_factor = 4.0;
-    settings.rules.overload_time = ms(1500);
+    settings.rules.overload_window = ms(1500);
     let mut world = World::seeded(settings, seed);
-    world.list(ListKind::Full, (0..3).map(entry).collect());
+    world.list(ListKind::Snapshot, (0..3).map(entry).collect());
     let mut free_at = std::collections::BTreeMap::new();
     let (mut seen, mut cold, mut began) = (0, Vec::new(), None);
     for (step, (requests, pause)) in arrivals.iter().enumerate() {
         if step == arrivals.len() / 3 {
             began = Some(world.now);
-            world.list(ListKind::Changes, vec![ServerEntry { started: began, ..entry(COLD.0) }]);
+            world.list(ListKind::Delta, vec![EndpointEntry { started: began, ..entry(COLD.0) }]);
         }
         (0..*requests).for_each(|_| drop(world.request(0)));
         for _ in 0..*pause {
             world.pass(ms(1));
             // Each server serves one request after the other.
             for (id, attempt) in world.out() {
-                let server = world.server_of(id, attempt);
-                let free = free_at.entry(server).or_insert(world.now);
+                let endpoint = world.server_of(id, attempt);
+                let free = free_at.entry(endpoint).or_insert(world.now);
                 if *free <= world.now && !world.answered(id) {
                     *free = world.now + work;
                     world.end(id, attempt, Outcome::Served, Some(0.0));
                 }
             }
         }
-        let to_cold = |a: &&Action| matches!(a, Action::Send { server: COLD, .. });
+        let to_cold = |a: &&Action| matches!(a, Action::StartAttempt { endpoint: COLD, .. });
         let sends = world.log[seen..].iter().filter(to_cold).count();
         cold.extend(std::iter::repeat_n(world.now, sends));
         seen = world.log.len();
@@ -193,17 +195,19 @@
 fn many_nodes_spare_a_cold_server(seed: u64) -> Result<(), TestCaseError> {
     const NODES: u32 = 200;
     let mut settings = answering();
-    settings.nodes = NODES;
-    settings.rules.cold_share = 0.12;
-    settings.rules.warm_after = ms(19_000);
+    settings.node_count = NODES;
+    settings.rules.initial_capacity = 0.12;
+    settings.rules.slow_start_window = ms(19_000);
     settings.rules.overload_factor = 1.5;
-    settings.rules.overload_time = ms(1500);
+    settings.rules.overload_window = ms(1500);
     let nodes = 0..NODES;
     let mut worlds: Vec<_> = nodes
         .map(|node| {
-            let mut world =
-                World::seeded(Settings { node, ..settings.clone() }, seed.wrapping_add(node.into()));
-            world.list(ListKind::Full, (0..10).map(entry).collect());
+            let mut world = World::seeded(
+                Settings { node_index: node, ..settings.clone() },
+                seed.wrapping_add(node.into()),
+            );
+            world.list(ListKind::Snapshot, (0..10).map(entry).collect());
             world
         })
         .collect();
@@ -217,7 +221,7 @@
                     world.request(0);
                     let cold = world.log[before..]
                         .iter()
-                        .filter(|a| matches!(a, Action::Send { server, .. } if server.0 == 10));
+                        .filter(|a| matches!(a, Action::StartAttempt { endpoint, .. } if endpoint.0 == 10));
                     sent.extend(cold.map(|_| round));
                 }
                 world.pass(ms(50));
@@ -231,13 +235,13 @@
     turn(&mut worlds, 0..200);
     for world in &mut worlds {
         let started = Some(world.now);
-        world.list(ListKind::Changes, vec![ServerEntry { started, ..entry(10) }]);
+        world.list(ListKind::Delta, vec![EndpointEntry { started, ..entry(10) }]);
     }
     // Four seconds later most of the others drain.
     turn(&mut worlds, 200..280);
     for world in &mut worlds {
-        let drain = |n| ServerEntry { state: ServerState::Draining, ..entry(n) };
-        world.list(ListKind::Changes, (3..10).map(drain).collect());
+        let drain = |n| EndpointEntry { state: EndpointState::Draining, ..entry(n) };
+        world.list(ListKind::Delta, (3..10).map(drain).collect());
     }
     let sent = turn(&mut worlds, 280..340);
     let capacity = 40.0 / 0.6; // the servers were in use for six tenths
--- a/crates/balancer/tests/troubles.rs
+++ b/crates/balancer/tests/troubles.rs
@@ -31,7 +31,7 @@
         }
     }
     for action in &world.log[before..] {
-        tally.sends += usize::from(matches!(action, Action::Send { .. }));
+        tally.sends += usize::from(matches!(action, Action::StartAttempt { .. }));
         tally.subscribed += usize::from(matches!(action, Action::Subscribe { .. }));
     }
     // Two fifths of the requests, and what has been saved up: twice the burst of a fresh node.
@@ -40,9 +40,9 @@
 }
 
 /// Both ways of reporting, and a node that has had the time to learn that all is well.
-fn worlds(servers: u64) -> [World; 2] {
+fn worlds(endpoints: u64) -> [World; 2] {
     [answering(), probing()].map(|settings| {
-        let mut world = World::with_servers(settings, servers);
+        let mut world = World::with_servers(settings, endpoints);
         recovers(&mut world);
         world
     })
@@ -77,17 +77,17 @@
 #[test]
 fn a_list_that_empties_stops_all_sends_until_it_names_a_server_again() {
     for mut world in worlds(4) {
-        world.list(ListKind::Full, vec![]);
+        world.list(ListKind::Snapshot, vec![]);
         let tally = play(&mut world, 50, |_| Some(Outcome::Served));
         assert_eq!(tally.sends, 0);
-        world.list(ListKind::Full, (0..4).map(entry).collect());
+        world.list(ListKind::Snapshot, (0..4).map(entry).collect());
         recovers(&mut world);
     }
 }
 
 #[test]
 fn a_list_that_never_comes_while_requests_flood_in_is_asked_for_with_growing_waits() {
-    let mut world = World::new(Settings { list_on_request: true, ..probing() });
+    let mut world = World::new(Settings { poll_endpoints: true, ..probing() });
     let mut subscribed = 0;
     for _ in 0..40 {
         let tally = play(&mut world, 20, |_| Some(Outcome::Served));
@@ -99,7 +99,7 @@
     }
     // 24 s: within the 10 s that are allowed each time, and far fewer calls than requests.
     assert!((3..=20).contains(&subscribed), "{subscribed}");
-    world.list(ListKind::Full, (0..4).map(entry).collect());
+    world.list(ListKind::Snapshot, (0..4).map(entry).collect());
     recovers(&mut world);
 }
 
@@ -132,9 +132,9 @@
         // Three have left, and the list does not say so yet.
         let tally = play(&mut world, 200, |s| Some(if s < 3 { Outcome::Reset } else { Outcome::Served }));
         assert!(tally.served >= 170, "{tally:?}");
-        let cold = |number| ServerEntry { started: Some(world.now), ..entry(number) };
+        let cold = |number| EndpointEntry { started: Some(world.now), ..entry(number) };
         let successors = (6..9).map(cold).chain((3..6).map(entry)).collect();
-        world.list(ListKind::Full, successors);
+        world.list(ListKind::Snapshot, successors);
         recovers(&mut world);
     }
 }
--- a/crates/balancer/tests/world/fleet.rs
+++ b/crates/balancer/tests/world/fleet.rs
@@ -11,7 +11,7 @@
 
 /// A server: one line of waiting requests, served at its present capacity.
 pub struct Server {
-    pub entry: ServerEntry,
+    pub entry: EndpointEntry,
     free_at: Duration,
     /// When requests were sent to it within the last span of the cold rule.
     lately: VecDeque<Duration>,
@@ -21,7 +21,7 @@
 }
 
 struct Try {
-    server: ServerId,
+    endpoint: EndpointId,
     ended: bool,
 }
 
@@ -38,7 +38,7 @@
     Timer(u64),
     End { id: RequestId, attempt: usize, outcome: Outcome, sent: Duration },
     Restart,
-    Probed { server: ServerId, sent: Duration },
+    Probed { endpoint: EndpointId, sent: Duration },
     List { failed: bool },
     ClientGone(RequestId),
 }
@@ -49,7 +49,7 @@
     /// Requests a second that a warm server can do.
     capacity: f64,
     nodes: Vec<Node>,
-    pub servers: BTreeMap<ServerId, Server>,
+    pub endpoints: BTreeMap<EndpointId, Server>,
     due: BinaryHeap<Reverse<(Duration, u64)>>,
     events: BTreeMap<u64, (usize, u32, Due)>,
     set: u64,
@@ -68,12 +68,12 @@
     pub fn with_faults(
         settings: &Settings,
         nodes: u32,
-        servers: u64,
+        endpoints: u64,
         capacity: f64,
         rate: f64,
         seed: u64,
     ) -> Self {
-        let mut fleet = Fleet::new(settings, nodes, servers, capacity, rate, seed);
+        let mut fleet = Fleet::new(settings, nodes, endpoints, capacity, rate, seed);
         fleet.faults = true;
         fleet
     }
@@ -87,13 +87,13 @@
     fn note(&mut self, node: usize, action: &Action) {
         let micros = |time: &Duration| time.as_micros() as u64;
         let numbers: [u64; 4] = match action {
-            Action::Send { id, server, timeout } => [1, id.0, server.0, micros(timeout)],
-            Action::Refuse { id, retry_after } => [2, id.0, retry_after.as_ref().map_or(0, micros), 0],
+            Action::StartAttempt { id, endpoint, timeout } => [1, id.0, endpoint.0, micros(timeout)],
+            Action::Shed { id, retry_after } => [2, id.0, retry_after.as_ref().map_or(0, micros), 0],
             Action::Fail { id } => [3, id.0, 0, 0],
-            Action::Cancel { id, attempt } => [4, id.0, u64::from(*attempt), 0],
+            Action::CancelAttempt { id, attempt } => [4, id.0, u64::from(*attempt), 0],
             Action::SetTimer { after, token } => [5, micros(after), *token, 0],
-            Action::Probe { server } => [6, server.0, 0, 0],
-            Action::Subscribe { on } => [7, u64::from(*on), 0, 0],
+            Action::HealthCheck { endpoint } => [6, endpoint.0, 0, 0],
+            Action::Subscribe { enabled } => [7, u64::from(*enabled), 0, 0],
             other => panic!("unexpected {other:?}"),
         };
         self.actions += 1;
@@ -103,13 +103,13 @@
     }
 
     /// So many nodes, warm servers and requests a second in all. Some nodes see several times the mean.
-    pub fn new(settings: &Settings, nodes: u32, servers: u64, capacity: f64, rate: f64, seed: u64) -> Self {
+    pub fn new(settings: &Settings, nodes: u32, endpoints: u64, capacity: f64, rate: f64, seed: u64) -> Self {
         let mut fleet = Fleet {
             now: Duration::from_secs(100),
-            settings: Settings { nodes, ..settings.clone() },
+            settings: Settings { node_count: nodes, ..settings.clone() },
             capacity,
             nodes: Vec::new(),
-            servers: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
             due: BinaryHeap::new(),
             events: BTreeMap::new(),
             set: 0,
@@ -127,8 +127,8 @@
             let rate = rate * weight / total;
             fleet.nodes.push(Node { balancer, run: 0, tries: BTreeMap::new(), rate });
         }
-        for server in 0..servers {
-            fleet.add(super::entry(server));
+        for endpoint in 0..endpoints {
+            fleet.add(super::entry(endpoint));
         }
         for node in 0..fleet.nodes.len() {
             fleet.tell_all(node);
@@ -138,24 +138,24 @@
     }
 
     fn started(&mut self, node: usize) -> Balancer {
-        let settings = Settings { node: node as u32, ..self.settings.clone() };
+        let settings = Settings { node_index: node as u32, ..self.settings.clone() };
         Balancer::new(settings, self.rng.next_u64())
     }
 
-    fn add(&mut self, entry: ServerEntry) {
-        let server =
+    fn add(&mut self, entry: EndpointEntry) {
+        let endpoint =
             Server { entry, free_at: self.now, lately: VecDeque::new(), excess: f64::MIN, served: 0 };
-        self.servers.insert(entry.id, server);
+        self.endpoints.insert(entry.id, endpoint);
     }
 
     /// Replaces servers by ones that start now, and tells all nodes of it.
     pub fn replace(&mut self, gone: std::ops::Range<u64>, new: std::ops::Range<u64>) {
         for id in new {
-            self.add(ServerEntry { started: Some(self.now), ..super::entry(id) });
+            self.add(EndpointEntry { started: Some(self.now), ..super::entry(id) });
         }
         for id in gone {
-            let server = self.servers.get_mut(&ServerId(id)).expect("a server");
-            server.entry.state = ServerState::Draining;
+            let endpoint = self.endpoints.get_mut(&EndpointId(id)).expect("a server");
+            endpoint.entry.state = EndpointState::Draining;
         }
         (0..self.nodes.len()).for_each(|node| self.tell_all(node));
     }
@@ -170,8 +170,8 @@
     }
 
     fn tell_all(&mut self, node: usize) {
-        let entries = self.servers.values().map(|server| server.entry).collect();
-        self.tell(node, Event::List { kind: ListKind::Full, entries });
+        let entries = self.endpoints.values().map(|endpoint| endpoint.entry).collect();
+        self.tell(node, Event::EndpointList { kind: ListKind::Snapshot, entries });
     }
 
     fn chance(&mut self) -> f64 {
@@ -210,12 +210,12 @@
                 _ if run != self.nodes[node].run => {}
                 Due::Timer(token) => self.tell(node, Event::Timer { token }),
                 Due::End { id, attempt, outcome, sent } => self.end(node, id, attempt, outcome, sent),
-                Due::Probed { server, sent } => self.probed(node, server, sent),
+                Due::Probed { endpoint, sent } => self.probed(node, endpoint, sent),
                 Due::List { failed: true } => {
-                    self.tell(node, Event::List { kind: ListKind::Failed, entries: Vec::new() });
+                    self.tell(node, Event::EndpointList { kind: ListKind::Failed, entries: Vec::new() });
                 }
                 Due::List { failed: false } => self.tell_all(node),
-                Due::ClientGone(id) => self.tell(node, Event::ClientGone { id }),
+                Due::ClientGone(id) => self.tell(node, Event::ClientDisconnected { id }),
             }
         }
         self.now = until;
@@ -246,11 +246,11 @@
         let part = if new.client_retry { 0.2 + self.chance() * 0.8 } else { 1.0 };
         new.remaining = self.settings.classes[new.class].deadline.mul_f64(part);
         let cost = Duration::from_secs_f64(self.exponential() / self.capacity);
-        new.cost = (self.chance() < 0.7).then_some(cost);
+        new.cost_hint = (self.chance() < 0.7).then_some(cost);
     }
 
     /// What goes wrong with an attempt at a server, and when.
-    fn fault(&mut self, to: ServerId) -> Option<(Duration, Outcome)> {
+    fn fault(&mut self, to: EndpointId) -> Option<(Duration, Outcome)> {
         let soon = Duration::from_secs_f64(0.001 + self.chance() / 200.0);
         let chance = self.chance();
         match to.0 % 9 {
@@ -264,16 +264,16 @@
     }
 
     /// What a server says of its load: the requests that it holds.
-    fn load(&self, server: ServerId) -> LoadReport {
-        let left = self.servers[&server].free_at.saturating_sub(self.now).as_secs_f64();
+    fn load(&self, endpoint: EndpointId) -> LoadReport {
+        let left = self.endpoints[&endpoint].free_at.saturating_sub(self.now).as_secs_f64();
         LoadReport { in_flight: Some((left * self.capacity).ceil() as f32), ..LoadReport::default() }
     }
 
-    fn probed(&mut self, node: usize, server: ServerId, sent: Duration) {
+    fn probed(&mut self, node: usize, endpoint: EndpointId, sent: Duration) {
         let elapsed = self.now - sent;
         let outcome = if self.chance() < 0.05 { Outcome::TimedOut } else { Outcome::Served };
-        let report = (outcome == Outcome::Served).then(|| self.load(server));
-        self.tell(node, Event::Probed(ProbeEnd { server, outcome, elapsed, report }));
+        let report = (outcome == Outcome::Served).then(|| self.load(endpoint));
+        self.tell(node, Event::HealthChecked(HealthCheckEnd { endpoint, outcome, elapsed, report }));
     }
 
     fn restart(&mut self, node: usize) {
@@ -290,15 +290,15 @@
         if std::mem::replace(&mut one.ended, true) {
             return; // it was cancelled
         }
-        let server = one.server;
+        let endpoint = one.endpoint;
         let served = outcome == Outcome::Served;
         self.served += usize::from(served);
-        self.servers.get_mut(&server).expect("a server").served += usize::from(served);
+        self.endpoints.get_mut(&endpoint).expect("a server").served += usize::from(served);
         let elapsed = self.now - sent;
         let attempt = attempt as u32;
-        let reports = self.settings.reports == ReportSource::Answers;
-        let report = (reports && served).then(|| self.load(server));
-        let end = AttemptEnd { id, attempt, server, outcome, elapsed, finished: served, report };
+        let reports = self.settings.load_reports == LoadReportSource::Responses;
+        let report = (reports && served).then(|| self.load(endpoint));
+        let end = AttemptEnd { id, attempt, endpoint, outcome, elapsed, finished: served, report };
         self.tell(node, Event::AttemptEnded(end));
     }
 
@@ -309,21 +309,21 @@
             let run = self.nodes[node].run;
             self.note(node, &action);
             match action {
-                Action::Send { id, server, timeout } => self.send(node, id, server, timeout),
+                Action::StartAttempt { id, endpoint, timeout } => self.send(node, id, endpoint, timeout),
                 Action::SetTimer { after, token } => {
                     let at = self.now + after.max(Duration::from_nanos(1));
                     self.set(at, node, run, Due::Timer(token));
                 }
-                Action::Cancel { id, attempt } => {
+                Action::CancelAttempt { id, attempt } => {
                     let sent = self.now;
                     let due = Due::End { id, attempt: attempt as usize, outcome: Outcome::Cancelled, sent };
                     self.set(self.now, node, run, due);
                 }
-                Action::Probe { server } if self.faults => {
+                Action::HealthCheck { endpoint } if self.faults => {
                     let at = self.now + Duration::from_millis(1);
-                    self.set(at, node, run, Due::Probed { server, sent: self.now });
+                    self.set(at, node, run, Due::Probed { endpoint, sent: self.now });
                 }
-                Action::Subscribe { on: true } if self.faults => {
+                Action::Subscribe { enabled: true } if self.faults => {
                     let failed = self.chance() < 0.3;
                     self.set(self.now + Duration::from_millis(20), node, run, Due::List { failed });
                 }
@@ -332,29 +332,29 @@
         }
     }
 
-    fn send(&mut self, node: usize, id: RequestId, to: ServerId, timeout: Duration) {
+    fn send(&mut self, node: usize, id: RequestId, to: EndpointId, timeout: Duration) {
         let (now, work) = (self.now, self.exponential());
         let (rules, capacity) = (self.settings.rules, self.capacity);
-        let server = self.servers.get_mut(&to).expect("a server that is listed");
-        let warmth = server.entry.started.map_or(1.0, |started| {
-            let grown = (now - started).as_secs_f64() / rules.warm_after.as_secs_f64();
-            (rules.cold_share + (1.0 - rules.cold_share) * grown).min(1.0)
+        let endpoint = self.endpoints.get_mut(&to).expect("a server that is listed");
+        let warmth = endpoint.entry.started.map_or(1.0, |started| {
+            let grown = (now - started).as_secs_f64() / rules.slow_start_window.as_secs_f64();
+            (rules.initial_capacity + (1.0 - rules.initial_capacity) * grown).min(1.0)
         });
         if warmth < 1.0 {
-            server.lately.push_back(now);
-            while server.lately.front().is_some_and(|at| now - *at > rules.overload_time) {
-                server.lately.pop_front();
+            endpoint.lately.push_back(now);
+            while endpoint.lately.front().is_some_and(|at| now - *at > rules.overload_window) {
+                endpoint.lately.pop_front();
             }
-            let allowed = rules.overload_factor * warmth * capacity * rules.overload_time.as_secs_f64();
-            let sent = server.lately.len() as f64;
-            server.excess = server.excess.max(sent - (allowed + 2.0 * allowed.sqrt() + 2.0));
+            let allowed = rules.overload_factor * warmth * capacity * rules.overload_window.as_secs_f64();
+            let sent = endpoint.lately.len() as f64;
+            endpoint.excess = endpoint.excess.max(sent - (allowed + 2.0 * allowed.sqrt() + 2.0));
         }
-        let begins = server.free_at.max(now);
+        let begins = endpoint.free_at.max(now);
         let ends = begins + Duration::from_secs_f64(work / (capacity * warmth));
-        server.free_at = ends;
+        endpoint.free_at = ends;
         let tries = self.nodes[node].tries.entry(id).or_default();
         let attempt = tries.len();
-        tries.push(Try { server: to, ended: false });
+        tries.push(Try { endpoint: to, ended: false });
         let fault = if self.faults { self.fault(to) } else { None };
         let (ends, outcome) =
             fault.map_or((ends, Outcome::Served), |(after, outcome)| (now + after, outcome));
@@ -367,6 +367,6 @@
     /// The most by which any cold server was sent more than all nodes together may send it; not above 0 if they kept
     /// to that.
     pub fn excess(&self) -> f64 {
-        self.servers.values().map(|server| server.excess).fold(f64::MIN, f64::max)
+        self.endpoints.values().map(|endpoint| endpoint.excess).fold(f64::MIN, f64::max)
     }
 }
--- a/crates/balancer/tests/world/mod.rs
+++ b/crates/balancer/tests/world/mod.rs
@@ -13,35 +13,42 @@
 }
 
 /// A ready server of long standing. Servers are in zone and cell `number % 3`.
-pub fn entry(number: u64) -> ServerEntry {
+pub fn entry(number: u64) -> EndpointEntry {
     let (zone, cell) = ((number % 3) as u8, (number % 3) as u16);
-    ServerEntry {
-        id: ServerId(number),
+    EndpointEntry {
+        id: EndpointId(number),
         zone,
         cell,
-        state: ServerState::Ready,
+        state: EndpointState::Ready,
         weight: 1.0,
         ..Default::default()
     }
 }
 
-pub fn class(repeat: Repeat) -> Class {
-    Class {
-        aim: ms(400),
-        aim_stretch: 0.0,
+pub fn class(idempotency: Idempotency) -> RequestClass {
+    RequestClass {
+        latency_objective: ms(400),
+        objective_stretch: 0.0,
         deadline: ms(1000),
-        worth: 1.0,
-        late_worth: 0.0,
-        repeat,
+        priority_weight: 1.0,
+        late_weight: 0.0,
+        idempotency,
         streamed: false,
     }
 }
 
 /// Three nodes; class 0 safe, 1 unsafe, 2 keyed in a zone, 3 keyed in a cell, 4 keyed everywhere.
 pub fn settings() -> Settings {
-    let keyed = |scope| Repeat::Keyed { scope, window: ms(300) };
-    let repeats = [Repeat::Safe, Repeat::Unsafe, keyed(Scope::Zone), keyed(Scope::Cell), keyed(Scope::All)];
-    let mut settings = Settings { nodes: 3, classes: repeats.map(class).to_vec(), ..Settings::default() };
+    let keyed = |scope| Idempotency::Keyed { scope, window: ms(300) };
+    let repeats = [
+        Idempotency::Idempotent,
+        Idempotency::NotIdempotent,
+        keyed(Scope::Zone),
+        keyed(Scope::Cell),
+        keyed(Scope::All),
+    ];
+    let mut settings =
+        Settings { node_count: 3, classes: repeats.map(class).to_vec(), ..Settings::default() };
     settings.limits.cancel = true;
     settings.limits.parallel_attempts = true;
     settings
@@ -49,18 +56,18 @@
 
 pub fn probing() -> Settings {
     let mut settings = settings();
-    settings.reports = ReportSource::Probes;
-    settings.limits.probes = true;
-    settings.prices.probe = 0.002;
+    settings.load_reports = LoadReportSource::HealthChecks;
+    settings.limits.health_checks = true;
+    settings.prices.health_check = 0.002;
     settings
 }
 
 pub fn answering() -> Settings {
-    Settings { reports: ReportSource::Answers, ..settings() }
+    Settings { load_reports: LoadReportSource::Responses, ..settings() }
 }
 
 struct Try {
-    server: ServerId,
+    endpoint: EndpointId,
     sent: Duration,
     ends: Duration,
     outcome: Option<Outcome>,
@@ -84,8 +91,8 @@
     timers: BTreeMap<(Duration, usize), u64>,
     timers_set: usize,
     /// What the node was last told of each server, and when it was told to stop.
-    told: BTreeMap<ServerId, (ServerEntry, Option<Duration>)>,
-    probes: Vec<(ServerId, Duration)>,
+    told: BTreeMap<EndpointId, (EndpointEntry, Option<Duration>)>,
+    probes: Vec<(EndpointId, Duration)>,
     next_id: u64,
 }
 
@@ -112,7 +119,7 @@
     /// A world whose node has been told of servers 0, 1, 2 ...
     pub fn with_servers(settings: Settings, count: u64) -> Self {
         let mut world = World::new(settings);
-        world.list(ListKind::Full, (0..count).map(entry).collect());
+        world.list(ListKind::Snapshot, (0..count).map(entry).collect());
         world
     }
 
@@ -125,17 +132,17 @@
         actions
     }
 
-    pub fn list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) -> Vec<Action> {
+    pub fn list(&mut self, kind: ListKind, entries: Vec<EndpointEntry>) -> Vec<Action> {
         let now = self.now;
-        if matches!(kind, ListKind::Full | ListKind::Cached) {
+        if matches!(kind, ListKind::Snapshot | ListKind::Cached) {
             self.told.values_mut().for_each(|(_, stop)| *stop = stop.or(Some(now)));
         }
         for entry in &entries {
             let since = self.told.get(&entry.id).and_then(|(_, stop)| *stop).unwrap_or(now);
-            let stop = (entry.state != ServerState::Ready).then_some(since);
+            let stop = (entry.state != EndpointState::Ready).then_some(since);
             self.told.insert(entry.id, (*entry, stop));
         }
-        self.tell(Event::List { kind, entries })
+        self.tell(Event::EndpointList { kind, entries })
     }
 
     pub fn request(&mut self, class: usize) -> (RequestId, Vec<Action>) {
@@ -151,7 +158,18 @@
     ) -> (RequestId, Vec<Action>) {
         let id = RequestId(self.next_id);
         self.next_id += 1;
-        (id, self.take(NewRequest { id, class, tenant, key: 0, remaining, cost, client_retry: false }))
+        (
+            id,
+            self.take(NewRequest {
+                id,
+                class,
+                tenant,
+                key: 0,
+                remaining,
+                cost_hint: cost,
+                client_retry: false,
+            }),
+        )
     }
 
     /// Lets the node take a request.
@@ -168,34 +186,47 @@
         let one = &mut taken.tries[attempt];
         assert!(one.outcome.is_none(), "the test ends an attempt twice");
         one.outcome = Some(outcome);
-        let (server, elapsed) = (one.server, self.now - one.sent);
+        let (endpoint, elapsed) = (one.endpoint, self.now - one.sent);
         taken.answered |= outcome == Outcome::Served;
         let finished = taken.answered;
         let report = load.map(|load| LoadReport { in_flight: Some(load), ..LoadReport::default() });
         let attempt = attempt as u32;
-        self.tell(Event::AttemptEnded(AttemptEnd { id, attempt, server, outcome, elapsed, finished, report }))
+        self.tell(Event::AttemptEnded(AttemptEnd {
+            id,
+            attempt,
+            endpoint,
+            outcome,
+            elapsed,
+            finished,
+            report,
+        }))
     }
 
     /// Ends the oldest probe that is out; without a load it got no answer.
-    pub fn end_probe(&mut self, load: Option<f32>) -> Option<ServerId> {
-        let (server, sent) = (!self.probes.is_empty()).then(|| self.probes.remove(0))?;
+    pub fn end_probe(&mut self, load: Option<f32>) -> Option<EndpointId> {
+        let (endpoint, sent) = (!self.probes.is_empty()).then(|| self.probes.remove(0))?;
         let outcome = if load.is_some() { Outcome::Served } else { Outcome::TimedOut };
         let report = load.map(|load| LoadReport { in_flight: Some(load), ..LoadReport::default() });
-        self.tell(Event::Probed(ProbeEnd { server, outcome, elapsed: self.now - sent, report }));
-        Some(server)
+        self.tell(Event::HealthChecked(HealthCheckEnd {
+            endpoint,
+            outcome,
+            elapsed: self.now - sent,
+            report,
+        }));
+        Some(endpoint)
     }
 
     /// Answers all probes: those of the named servers say idle, the others busy.
     pub fn answer_probes(&mut self, idle: &[u64]) {
-        while let Some((server, _)) = self.probes.first() {
-            let load = if idle.contains(&server.0) { 0.0 } else { 2.0 };
+        while let Some((endpoint, _)) = self.probes.first() {
+            let load = if idle.contains(&endpoint.0) { 0.0 } else { 2.0 };
             self.end_probe(Some(load));
         }
     }
 
     pub fn client_leaves(&mut self, id: RequestId) {
         self.requests.get_mut(&id).expect("a request").answered = true;
-        self.tell(Event::ClientGone { id });
+        self.tell(Event::ClientDisconnected { id });
     }
 
     /// Lets time pass: timers come due, attempts and probes run into their time-outs.
@@ -238,8 +269,8 @@
         self.requests[&id].answered
     }
 
-    pub fn server_of(&self, id: RequestId, attempt: usize) -> ServerId {
-        self.requests[&id].tries[attempt].server
+    pub fn server_of(&self, id: RequestId, attempt: usize) -> EndpointId {
+        self.requests[&id].tries[attempt].endpoint
     }
 
     /// The requests that are still owed an answer.
@@ -249,13 +280,13 @@
 
     fn obey(&mut self, action: &Action) {
         match action {
-            Action::Send { id, server, timeout } => self.check_send(*id, *server, *timeout),
-            Action::Refuse { id, .. } => {
+            Action::StartAttempt { id, endpoint, timeout } => self.check_send(*id, *endpoint, *timeout),
+            Action::Shed { id, .. } => {
                 let taken = self.requests.get_mut(id).expect("rule 1: refuses what it was not given");
                 assert!(!taken.answered, "rule 1: a second answer for {id:?}");
                 let ran = taken.tries.iter().any(|t| !t.outcome.is_some_and(proves_no_run));
-                let allowed = match self.settings.classes[taken.class].repeat {
-                    Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => true,
+                let allowed = match self.settings.classes[taken.class].idempotency {
+                    Idempotency::Idempotent | Idempotency::Keyed { scope: Scope::All, .. } => true,
                     _ => !ran,
                 };
                 assert!(allowed, "rule 2: {id:?} may have run and is refused");
@@ -266,7 +297,7 @@
                 assert!(!taken.answered, "rule 1: a second answer for {id:?}");
                 taken.answered = true;
             }
-            Action::Cancel { id, attempt } => {
+            Action::CancelAttempt { id, attempt } => {
                 assert!(self.settings.limits.cancel, "cancels where that is not allowed");
                 let one = &mut self.requests.get_mut(id).expect("a request").tries[*attempt as usize];
                 one.ends = self.now; // its outcome comes with the next round
@@ -277,16 +308,16 @@
                 self.timers_set += 1;
                 self.timers.insert((due, self.timers_set), *token);
             }
-            Action::Probe { server } => {
-                assert!(self.settings.limits.probes, "probes where that is not allowed");
-                self.probes.push((*server, self.now));
+            Action::HealthCheck { endpoint } => {
+                assert!(self.settings.limits.health_checks, "probes where that is not allowed");
+                self.probes.push((*endpoint, self.now));
             }
-            Action::Subscribe { .. } | Action::FetchList => {}
+            Action::Subscribe { .. } | Action::FetchEndpointList => {}
             other => panic!("unexpected {other:?}"),
         }
     }
 
-    fn check_send(&mut self, id: RequestId, to: ServerId, timeout: Duration) {
+    fn check_send(&mut self, id: RequestId, to: EndpointId, timeout: Duration) {
         let taken = self.requests.get_mut(&id).expect("rule 1: sends what it was not given");
         assert!(!taken.answered, "rule 1: {id:?} is sent after its answer");
         let (entry, stop) = self.told.get(&to).expect("sends to a server that was never listed");
@@ -298,11 +329,11 @@
         assert!(!parallel || limits.parallel_attempts, "two attempts at once");
         let ran = taken.tries.iter().find(|t| !t.outcome.is_some_and(proves_no_run));
         if let Some(first) = ran {
-            let home = &self.told[&first.server].0;
-            let allowed = match self.settings.classes[taken.class].repeat {
-                Repeat::Safe => true,
-                Repeat::Unsafe => false,
-                Repeat::Keyed { scope, window } => {
+            let home = &self.told[&first.endpoint].0;
+            let allowed = match self.settings.classes[taken.class].idempotency {
+                Idempotency::Idempotent => true,
+                Idempotency::NotIdempotent => false,
+                Idempotency::Keyed { scope, window } => {
                     let group = match scope {
                         Scope::All => true,
                         Scope::Zone => home.zone == entry.zone,
@@ -314,7 +345,7 @@
             assert!(allowed, "rule 2: {id:?} may have run and is sent to {to:?}");
         }
         let ends = (self.now + timeout).min(taken.deadline);
-        taken.tries.push(Try { server: to, sent: self.now, ends, outcome: None });
+        taken.tries.push(Try { endpoint: to, sent: self.now, ends, outcome: None });
     }
 }
 
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -12,7 +12,7 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode};
 use ottertiller_balancer::settings::Column;
-use ottertiller_balancer::{LoadReport, Outcome, ReportSource, RequestId, ServerId};
+use ottertiller_balancer::{EndpointId, LoadReport, LoadReportSource, Outcome, RequestId};
 use std::cell::Cell;
 use std::io::{self, ErrorKind::InvalidData, ErrorKind::InvalidInput};
 use std::net::SocketAddr;
@@ -32,7 +32,7 @@
 pub struct Attempt {
     pub id: RequestId,
     pub number: u32,
-    pub server: ServerId,
+    pub endpoint: EndpointId,
     /// When the node stops waiting for it.
     pub until: Duration,
     pub forward: Rc<Forward>,
@@ -49,7 +49,7 @@
 
 /// How a probe ended.
 pub struct ProbeEnded {
-    pub server: ServerId,
+    pub endpoint: EndpointId,
     pub outcome: Outcome,
     pub sent: Duration,
     pub report: Option<LoadReport>,
@@ -64,12 +64,12 @@
     /// Room for bodies, requests' and answers'.
     budget: Budget,
     columns: Vec<Column>,
-    reports: ReportSource,
+    reports: LoadReportSource,
 }
 
 impl Backends {
     pub fn new(clock: Clock, config: &Config, budget: Budget, pool: Rc<Pool>) -> Rc<Self> {
-        let (columns, reports) = (config.site.columns.clone(), config.site.settings.reports);
+        let (columns, reports) = (config.site.columns.clone(), config.site.settings.load_reports);
         Rc::new(Backends { clock, pool, budget, columns, reports })
     }
 
@@ -91,7 +91,7 @@
 
     async fn exchange(self: &Rc<Self>, attempt: &Attempt, written: &Cell<bool>) -> End {
         for _ in 0..BROKEN_IN_A_ROW {
-            let mut connection = match self.pool.take(attempt.server).await {
+            let mut connection = match self.pool.take(attempt.endpoint).await {
                 Ok(connection) => connection,
                 Err(outcome) => return (outcome, None, None),
             };
@@ -106,7 +106,7 @@
             written.set(true);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
-                    let (ended, whole) = self.answered(attempt.server, connection, response).await;
+                    let (ended, whole) = self.answered(attempt.endpoint, connection, response).await;
                     whole.into_iter().for_each(|connection| self.pool.put(connection));
                     return ended;
                 }
@@ -152,7 +152,7 @@
     /// connection comes back if it may go on.
     async fn answered(
         &self,
-        server: ServerId,
+        endpoint: EndpointId,
         connection: Connection,
         response: Response<Incoming>,
     ) -> (End, Option<Connection>) {
@@ -163,7 +163,10 @@
         let framed = length.is_some() || head.headers.contains_key(TRANSFER_ENCODING);
         let length = length.map_or(BODY_LIMIT, |length| usize::try_from(length).unwrap_or(usize::MAX));
         if !framed || length > BODY_LIMIT {
-            log_peer(format_args!("server {:x}: an answer of no length, or too long, was dropped", server.0));
+            log_peer(format_args!(
+                "server {:x}: an answer of no length, or too long, was dropped",
+                endpoint.0
+            ));
             return ((Outcome::Error, report, None), None);
         }
         let Some(room) = self.budget.lease(length) else {
@@ -187,18 +190,18 @@
     }
 
     /// Asks a backend for its load, or for a sign of life where it reports none.
-    pub async fn probe(self: Rc<Self>, server: ServerId) -> (Outcome, Option<LoadReport>) {
-        timeout(PROBE_TIMEOUT, self.probed(server)).await.unwrap_or((Outcome::TimedOut, None))
+    pub async fn probe(self: Rc<Self>, endpoint: EndpointId) -> (Outcome, Option<LoadReport>) {
+        timeout(PROBE_TIMEOUT, self.probed(endpoint)).await.unwrap_or((Outcome::TimedOut, None))
     }
 
-    async fn probed(self: &Rc<Self>, server: ServerId) -> (Outcome, Option<LoadReport>) {
-        let mut connection = match self.pool.take(server).await {
+    async fn probed(self: &Rc<Self>, endpoint: EndpointId) -> (Outcome, Option<LoadReport>) {
+        let mut connection = match self.pool.take(endpoint).await {
             Ok(connection) => connection,
             Err(outcome) => return (outcome, None),
         };
         let mut request = Request::new(Full::default());
         *request.method_mut() = Method::GET;
-        let reports = self.reports != ReportSource::None;
+        let reports = self.reports != LoadReportSource::None;
         *request.uri_mut() = hyper::Uri::from_static(if reports { "/stats" } else { "/health/live" });
         let Some(address) = self.pool.destination(&connection) else { return (Outcome::NotSent, None) };
         request.headers_mut().insert(HOST, host(address));
@@ -206,7 +209,7 @@
             Ok(response) => response,
             Err(e) => return (broken(&e), None),
         };
-        let ((outcome, in_head, body), whole) = self.answered(server, connection, response).await;
+        let ((outcome, in_head, body), whole) = self.answered(endpoint, connection, response).await;
         // What a probe has found idle is mostly sent to at once, over this connection.
         whole.into_iter().for_each(|connection| self.pool.offer(connection));
         let in_body = || {
@@ -217,7 +220,7 @@
     }
 
     fn report_in(&self, headers: &HeaderMap) -> Option<LoadReport> {
-        let value = headers.get("x-load-report").filter(|_| self.reports != ReportSource::None)?;
+        let value = headers.get("x-load-report").filter(|_| self.reports != LoadReportSource::None)?;
         let report = value.to_str().ok().and_then(|text| self.report(text));
         if report.is_none() {
             log_peer(format_args!("a malformed load report was dropped: {value:?}"));
@@ -258,7 +261,7 @@
     use super::*;
     use crate::discovery::Backend;
     use crate::pool::tests::{CONFIG, SERVER, with_pool};
-    use ottertiller_balancer::{ListKind, ServerState};
+    use ottertiller_balancer::{EndpointState, ListKind};
     use std::cell::RefCell;
     use tokio::io::AsyncReadExt;
     use tokio::task::spawn_local;
@@ -281,7 +284,7 @@
                 first_byte: Cell::new(None),
             };
             let (until, forward) = (now + MINUTE, Rc::new(forward));
-            let mut attempt = Attempt { id: RequestId(1), number: 0, server: SERVER, until, forward };
+            let mut attempt = Attempt { id: RequestId(1), number: 0, endpoint: SERVER, until, forward };
             by(&pool, &mut attempt, backend, now);
             let (_stop, stopped) = oneshot::channel();
             let served = spawn_local(async move {
@@ -314,8 +317,8 @@
             overtaken(|_, attempt, _, now| attempt.forward.first_byte.set(Some(now - 2 * MINUTE)));
         assert_eq!(forgotten, nothing(), "backends have forgotten the first attempt of a keyed request");
         let drained = overtaken(|pool, _, mut backend, _| {
-            backend.entry.state = ServerState::Draining;
-            pool.update(ListKind::Changes, &[backend]);
+            backend.entry.state = EndpointState::Draining;
+            pool.update(ListKind::Delta, &[backend]);
         });
         assert_eq!(drained, nothing(), "the backend drains, though its grace is not over");
     }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use ottertiller_balancer::settings::{Site, millis};
-use ottertiller_balancer::{ListKind, ServerEntry, ServerId, ServerState};
+use ottertiller_balancer::{EndpointEntry, EndpointId, EndpointState, ListKind};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use serde::Deserialize;
@@ -40,7 +40,7 @@
 /// A line of the list, and where that backend listens.
 #[derive(Clone, Debug)]
 pub struct Backend {
-    pub entry: ServerEntry,
+    pub entry: EndpointEntry,
     pub address: SocketAddr,
 }
 
@@ -136,7 +136,7 @@
             // The module is to know that it has started, or it would never ask for a list.
             self.tell(ListKind::Cached, Vec::new()).await;
         }
-        if self.site.settings.list_on_request {
+        if self.site.settings.poll_endpoints {
             self.obey(orders, moved).await;
         } else {
             self.follow(moved).await;
@@ -233,7 +233,7 @@
         let (response, _connection) = self.get(LIST).await?;
         let body = timeout(SILENCE, Limited::new(response.into_body(), LONGEST).collect()).await;
         let body = body.map_err(|_| "silent")?.map_err(|e| e.to_string())?;
-        self.take(&body.to_bytes(), Some(ListKind::Full)).await;
+        self.take(&body.to_bytes(), Some(ListKind::Snapshot)).await;
         Ok(())
     }
 
@@ -292,10 +292,10 @@
                 return false;
             }
         };
-        let listed = if list.snapshot { ListKind::Full } else { ListKind::Changes };
+        let listed = if list.snapshot { ListKind::Snapshot } else { ListKind::Delta };
         let kind = kind.unwrap_or(listed);
         let index = list.index.unwrap_or(self.index);
-        if kind == ListKind::Changes && index < self.index {
+        if kind == ListKind::Delta && index < self.index {
             // They would take back what is known since, such as that a server drains.
             log(format_args!("changes of version {index} were dropped: the list is at {}", self.index));
             list.endpoints.clear();
@@ -309,8 +309,8 @@
         }
         self.tell(kind, backends).await;
         // Only now: a watch that is dropped before has not told the node, and must be told again.
-        self.index = if kind == ListKind::Changes { index.max(self.index) } else { index };
-        self.ready.set(self.ready.get() || kind != ListKind::Cached || self.site.settings.list_on_request);
+        self.index = if kind == ListKind::Delta { index.max(self.index) } else { index };
+        self.ready.set(self.ready.get() || kind != ListKind::Cached || self.site.settings.poll_endpoints);
         true
     }
 
@@ -321,11 +321,11 @@
         // A new kind of machine serves like any other, but the zone decides where repeats may go.
         let kind = place(&self.site.kind_names, &line.kind).and_then(|kind| u8::try_from(kind).ok());
         let state = match line.status {
-            Status::InService => ServerState::Ready,
-            Status::Terminating => ServerState::Draining,
-            Status::Terminated => ServerState::Gone,
+            Status::InService => EndpointState::Ready,
+            Status::Terminating => EndpointState::Draining,
+            Status::Terminated => EndpointState::Removed,
         };
-        let entry = ServerEntry {
+        let entry = EndpointEntry {
             id: number(&line.name),
             zone: zone.ok_or_else(|| format!("{}: unknown zone {}", line.name, line.zone))?,
             kind: kind.unwrap_or(u8::MAX),
@@ -351,8 +351,8 @@
 }
 
 /// A backend's number: made from its name alone, so that it is the same at every node (FNV-1a).
-fn number(name: &str) -> ServerId {
-    ServerId(name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+fn number(name: &str) -> EndpointId {
+    EndpointId(name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
     }))
 }
--- a/crates/node/src/discovery_tests.rs
+++ b/crates/node/src/discovery_tests.rs
@@ -41,13 +41,13 @@
     Failure::Watched,
 ];
 
-fn config(address: SocketAddr, mode: &str, ask_within: u64, seed: u64) -> Config {
+fn config(address: SocketAddr, mode: &str, poll_interval: u64, seed: u64) -> Config {
     let text = format!(
         r#"{{"listen":"127.0.0.1:0","discovery":"{address}","seed":"{seed:x}",
         "known":{{"index":7,"snapshot":true,"endpoints":[]}},
         "settings":{{"RegistryMode":"{mode}","Quantum":1,
         "Classes":[{{"Name":"read","Target":250,"GiveUp":630,"Idempotency":"free"}}],
-        "Rules":{{"DrainGrace":60000,"MustAskIn":{ask_within}}}}}}}"#
+        "Rules":{{"DrainGrace":60000,"MustAskIn":{poll_interval}}}}}}}"#
     );
     Config::parse(&text).expect("good")
 }
@@ -85,12 +85,12 @@
 }
 
 /// How long a node goes without the list once discovery can be reached, after a failure of that length.
-fn goes_without(mode: &str, ask_within: u64, failure: Failure, length: Duration, seed: u64) -> Duration {
+fn goes_without(mode: &str, poll_interval: u64, failure: Failure, length: Duration, seed: u64) -> Duration {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), async {
         let socket = TcpSocket::new_v4().expect("a socket");
         socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
-        let config = config(socket.local_addr().expect("its address"), mode, ask_within, seed);
+        let config = config(socket.local_addr().expect("its address"), mode, poll_interval, seed);
         let clock = Clock::start();
         let (messages, mut inbox) = mpsc::channel(64);
         let (orders, discovery_orders) = mpsc::channel(16);
@@ -101,7 +101,7 @@
         let node = spawn_local(async move { node.run(&mut inbox).await });
         // The first call is not after a failed one: the failure lasts for so long from there.
         let first = Duration::from_secs(1)
-            + if mode == "ask" { millis(ask_within as f64) / 4 } else { Duration::ZERO };
+            + if mode == "ask" { millis(poll_interval as f64) / 4 } else { Duration::ZERO };
         let reachable = Instant::now() + first + length;
         let peer = spawn_local(play(socket, failure, reachable));
         let discovery = spawn_local(Discovery::new(&config, messages).run(discovery_orders, moved));
@@ -123,13 +123,13 @@
 fn after_any_failure_the_next_list_is_in_within_6_s_of_discovery_being_reachable() {
     // Each in a thread of its own, for they wait for the kernel.
     std::thread::scope(|threads| {
-        for (mode, ask_within) in [("push", 10_000), ("ask", 4_000), ("ask", 10_000), ("ask", 120_000)] {
+        for (mode, poll_interval) in [("push", 10_000), ("ask", 4_000), ("ask", 10_000), ("ask", 120_000)] {
             for failure in FAILURES {
                 threads.spawn(move || {
                     for step in 0..20 {
                         let length = Duration::from_millis(1213) * step;
-                        let without = goes_without(mode, ask_within, failure, length, u64::from(step));
-                        let case = format!("{mode} {ask_within}, {failure:?} for {length:?}");
+                        let without = goes_without(mode, poll_interval, failure, length, u64::from(step));
+                        let case = format!("{mode} {poll_interval}, {failure:?} for {length:?}");
                         assert!(without <= TOLD, "{case}: {without:?}");
                     }
                 });
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -362,7 +362,7 @@
             tenant: request.tenant,
             key: request.key,
             remaining: request.budget,
-            cost: request.cost,
+            cost_hint: request.cost,
             client_retry: request.client_retry,
         };
         let forward = Forward {
--- a/crates/node/src/in_flight.rs
+++ b/crates/node/src/in_flight.rs
@@ -4,7 +4,7 @@
 //! attempt out, it leaves together with its timers, whichever event came last. No caller has to remember that.
 
 use crate::node::{Answer, Forward, Stop};
-use ottertiller_balancer::{RequestId, ServerId};
+use ottertiller_balancer::{EndpointId, RequestId};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,7 +22,7 @@
 }
 
 struct Attempt {
-    server: ServerId,
+    endpoint: EndpointId,
     sent: Duration,
     state: AttemptState,
 }
@@ -47,7 +47,7 @@
 
 /// What the caller needs to know of an attempt that has just ended.
 pub struct EndedAttempt {
-    pub server: ServerId,
+    pub endpoint: EndpointId,
     pub sent: Duration,
     /// Whether the request had its final answer before this attempt ended.
     pub answered: bool,
@@ -138,7 +138,7 @@
     pub fn new_attempt(
         &mut self,
         id: RequestId,
-        server: ServerId,
+        endpoint: EndpointId,
         now: Duration,
         most: usize,
     ) -> Option<NewAttempt> {
@@ -146,7 +146,7 @@
         let number = request.attempts.len() as u32;
         let answered = request.is_answered();
         if answered || now >= request.forward.deadline || request.attempts.len() >= most {
-            request.attempts.push(Attempt { server, sent: now, state: AttemptState::Ended });
+            request.attempts.push(Attempt { endpoint, sent: now, state: AttemptState::Ended });
             return Some(NewAttempt::Refused { number, answered });
         }
         Some(NewAttempt::Permitted { number, forward: request.forward.clone() })
@@ -156,12 +156,12 @@
     pub fn attempt_started(
         &mut self,
         id: RequestId,
-        server: ServerId,
+        endpoint: EndpointId,
         now: Duration,
         stop: oneshot::Sender<Stop>,
     ) {
         if let Some(request) = self.requests.get_mut(&id) {
-            request.attempts.push(Attempt { server, sent: now, state: AttemptState::Running(stop) });
+            request.attempts.push(Attempt { endpoint, sent: now, state: AttemptState::Running(stop) });
         }
     }
 
@@ -174,7 +174,7 @@
             return None;
         }
         attempt.state = AttemptState::Ended;
-        let ended = EndedAttempt { server: attempt.server, sent: attempt.sent, answered };
+        let ended = EndedAttempt { endpoint: attempt.endpoint, sent: attempt.sent, answered };
         self.remove_if_finished(id);
         Some(ended)
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -147,13 +147,13 @@
             Message::Request(taken) => self.on_request(taken),
             Message::ClientGone(id) => {
                 if self.requests.abandon(id) {
-                    self.decide(Event::ClientGone { id });
+                    self.decide(Event::ClientDisconnected { id });
                 }
             }
             Message::Attempt(ended) => self.on_attempt(ended),
-            Message::Probe(ProbeEnded { server, outcome, sent, report }) => {
+            Message::Probe(ProbeEnded { endpoint, outcome, sent, report }) => {
                 let elapsed = self.clock.now().saturating_sub(sent);
-                self.decide(Event::Probed(ProbeEnd { server, outcome, elapsed, report }));
+                self.decide(Event::HealthChecked(HealthCheckEnd { endpoint, outcome, elapsed, report }));
             }
             Message::End => {
                 for id in self.requests.unanswered() {
@@ -163,7 +163,7 @@
             Message::List(news) => {
                 self.backends.pool.update(news.kind, &news.backends);
                 let entries = news.backends.into_iter().map(|backend| backend.entry).collect();
-                self.decide(Event::List { kind: news.kind, entries });
+                self.decide(Event::EndpointList { kind: news.kind, entries });
             }
         }
     }
@@ -186,7 +186,7 @@
         self.decide(Event::AttemptEnded(AttemptEnd {
             id: ended.id,
             attempt: ended.number,
-            server: attempt.server,
+            endpoint: attempt.endpoint,
             outcome: ended.outcome,
             elapsed: self.clock.now().saturating_sub(attempt.sent),
             finished: attempt.answered || served,
@@ -198,7 +198,7 @@
     fn overdue(&mut self, id: RequestId) {
         if self.requests.answer(id, Answer::TimedOut) {
             log_peer(format_args!("request {} was unanswered when its time was up: failed", id.0));
-            self.decide(Event::ClientGone { id });
+            self.decide(Event::ClientDisconnected { id });
         }
     }
 
@@ -219,37 +219,37 @@
     /// Carries out an action. An attempt that can't even start ends at once, with the event returned.
     fn act(&mut self, action: Action) -> Option<Event> {
         match action {
-            Action::Send { id, server, timeout } => return self.send(id, server, timeout),
-            Action::Refuse { id, retry_after } => {
+            Action::StartAttempt { id, endpoint, timeout } => return self.send(id, endpoint, timeout),
+            Action::Shed { id, retry_after } => {
                 self.requests.answer(id, Answer::Refused(retry_after));
             }
             Action::Fail { id } => {
                 self.requests.answer(id, Answer::Failed);
             }
-            Action::Cancel { id, attempt } => self.requests.stop_attempt(id, attempt, Stop::Cancelled),
+            Action::CancelAttempt { id, attempt } => self.requests.stop_attempt(id, attempt, Stop::Cancelled),
             Action::SetTimer { after, token } => {
                 self.requests.set_timer(self.clock.now() + after, Due::Balancer(token));
             }
-            Action::Probe { server } => self.probe(server),
-            Action::CloseIdle { server } => self.backends.pool.close_idle(server),
-            Action::Subscribe { on } => self.order(Order::Subscribe(on)),
-            Action::FetchList => self.order(Order::Fetch),
+            Action::HealthCheck { endpoint } => self.probe(endpoint),
+            Action::CloseIdleConnections { endpoint } => self.backends.pool.close_idle(endpoint),
+            Action::Subscribe { enabled } => self.order(Order::Subscribe(enabled)),
+            Action::FetchEndpointList => self.order(Order::Fetch),
             // No message between nodes: the module sends none, and the site allows none.
-            Action::Tell { .. } => log("a message to another node was dropped"),
+            Action::SendToPeer { .. } => log("a message to another node was dropped"),
             Action::Log { text } => log(text),
         }
         None
     }
 
-    fn send(&mut self, id: RequestId, server: ServerId, timeout: Duration) -> Option<Event> {
+    fn send(&mut self, id: RequestId, endpoint: EndpointId, timeout: Duration) -> Option<Event> {
         let now = self.clock.now();
-        let (number, forward) = match self.requests.new_attempt(id, server, now, self.max_attempts)? {
+        let (number, forward) = match self.requests.new_attempt(id, endpoint, now, self.max_attempts)? {
             NewAttempt::Permitted { number, forward } => (number, forward),
             NewAttempt::Refused { number, answered } => {
                 return Some(Event::AttemptEnded(AttemptEnd {
                     id,
                     attempt: number,
-                    server,
+                    endpoint,
                     outcome: Outcome::NotSent,
                     elapsed: Duration::ZERO,
                     finished: answered,
@@ -260,9 +260,9 @@
         let deadline = forward.deadline;
         let until = if timeout.is_zero() { deadline } else { deadline.min(now + timeout) };
         let (stop, stopped) = oneshot::channel();
-        self.requests.attempt_started(id, server, now, stop);
+        self.requests.attempt_started(id, endpoint, now, stop);
         self.requests.set_timer(until, Due::Attempt(id, number));
-        let attempt = Attempt { id, number, server, until, forward };
+        let attempt = Attempt { id, number, endpoint, until, forward };
         let (backends, messages) = (self.backends.clone(), self.messages.clone());
         spawn_local(async move {
             let ended = backends.attempt(attempt, stopped).await;
@@ -271,11 +271,11 @@
         None
     }
 
-    fn probe(&mut self, server: ServerId) {
+    fn probe(&mut self, endpoint: EndpointId) {
         let (sent, backends, messages) = (self.clock.now(), self.backends.clone(), self.messages.clone());
         spawn_local(async move {
-            let (outcome, report) = backends.probe(server).await;
-            let _ = messages.send(Message::Probe(ProbeEnded { server, outcome, sent, report })).await;
+            let (outcome, report) = backends.probe(endpoint).await;
+            let _ = messages.send(Message::Probe(ProbeEnded { endpoint, outcome, sent, report })).await;
         });
     }
 
--- a/crates/node/src/node_tests.rs
+++ b/crates/node/src/node_tests.rs
@@ -24,11 +24,11 @@
 const SUBMIT: usize = 1;
 const CORRECT: usize = 2;
 
-fn config(reports: &str, late_worth: f64) -> Config {
+fn config(reports: &str, late_weight: f64) -> Config {
     let class = |name: &str, idempotency: &str| {
         format!(
             r#"{{"Name":"{name}","Target":200,"GiveUp":400,"Idempotency":"{idempotency}","Group":"cell",
-            "Window":60000,"LateWorth":{late_worth}}}"#
+            "Window":60000,"LateWorth":{late_weight}}}"#
         )
     };
     let classes =
@@ -180,7 +180,7 @@
 }
 
 fn listed(id: u64, address: SocketAddr) -> Backend {
-    let entry = ServerEntry { id: ServerId(id), state: ServerState::Ready, ..ServerEntry::default() };
+    let entry = EndpointEntry { id: EndpointId(id), state: EndpointState::Ready, ..EndpointEntry::default() };
     Backend { entry, address }
 }
 
@@ -197,7 +197,7 @@
 fn a_request_refused_on_a_timer_leaves_nothing() {
     in_virtual_time(async {
         let mut host = Host::start(&config("pull", 0.0));
-        host.run(async |front| front.list(ListKind::Full, vec![]).await).await;
+        host.run(async |front| front.list(ListKind::Snapshot, vec![]).await).await;
         let before = host.usage();
         let (_, held) = host
             .run(async |front| {
@@ -219,7 +219,7 @@
     in_virtual_time(async {
         let mut host = Host::start(&config("pull", 0.0));
         let crowded = backend(1, "inflight=50,queue=40").await;
-        host.run(async |front| front.list(ListKind::Full, vec![crowded]).await).await;
+        host.run(async |front| front.list(ListKind::Snapshot, vec![crowded]).await).await;
         let before = host.usage();
         let mut refused = 0;
         for _ in 0..20 {
@@ -245,16 +245,16 @@
         let mut host = Host::start(&config("pull", 0.0));
         // Nobody listens there, so a probe takes its time.
         let lost = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let server = listed(1, lost.local_addr().expect("its address"));
-        host.run(async |front| front.list(ListKind::Full, vec![server.clone()]).await).await;
+        let endpoint = listed(1, lost.local_addr().expect("its address"));
+        host.run(async |front| front.list(ListKind::Snapshot, vec![endpoint.clone()]).await).await;
         let before = host.usage();
         let (_, held) = host
             .run(async |front| {
                 let asked = front.request(SUBMIT, "ok", DEADLINE).await;
                 sleep(Duration::from_millis(1)).await;
-                let mut gone = server.clone();
-                gone.entry.state = ServerState::Gone;
-                front.list(ListKind::Changes, vec![gone]).await;
+                let mut gone = endpoint.clone();
+                gone.entry.state = EndpointState::Removed;
+                front.list(ListKind::Delta, vec![gone]).await;
                 asked
             })
             .await;
@@ -271,7 +271,7 @@
 fn a_request_answered_while_a_list_is_taken_in_leaves_nothing() {
     in_virtual_time(async {
         let mut host = Host::start(&config("pull", 0.0));
-        host.run(async |front| front.list(ListKind::Full, vec![]).await).await;
+        host.run(async |front| front.list(ListKind::Snapshot, vec![]).await).await;
         let before = host.usage();
         for refuse in [true, false] {
             let (id, answer) = host
@@ -282,9 +282,9 @@
                 })
                 .await;
             assert_eq!(host.usage().0.requests, 1, "it is held");
-            host.node.take(Message::List(News { kind: ListKind::Full, backends: vec![] }));
+            host.node.take(Message::List(News { kind: ListKind::Snapshot, backends: vec![] }));
             let retry_after = None;
-            let action = if refuse { Action::Refuse { id, retry_after } } else { Action::Fail { id } };
+            let action = if refuse { Action::Shed { id, retry_after } } else { Action::Fail { id } };
             host.node.act(action);
             assert!(answer.await.is_ok());
             assert_eq!(host.usage(), before);
@@ -298,7 +298,7 @@
         // Late answers have worth, so that the deadline is what ends it.
         let mut host = Host::start(&config("piggyback", 0.5));
         let silent = backend(1, "").await;
-        host.run(async |front| front.list(ListKind::Full, vec![silent]).await).await;
+        host.run(async |front| front.list(ListKind::Snapshot, vec![silent]).await).await;
         let before = host.usage();
         for class in [READ, SUBMIT, CORRECT] {
             let (_, answer) = host
@@ -322,7 +322,7 @@
     in_virtual_time(async {
         let mut host = Host::start(&config("piggyback", 0.5));
         let silent = backend(1, "").await;
-        host.run(async |front| front.list(ListKind::Full, vec![silent]).await).await;
+        host.run(async |front| front.list(ListKind::Snapshot, vec![silent]).await).await;
         let (id, _answer) = host
             .run(async |front| {
                 let asked = front.request(CORRECT, "silence", DEADLINE).await;
@@ -372,21 +372,21 @@
                 backend(id, if id % 3 == 0 { "inflight=9,queue=5" } else { "inflight=0,queue=0" }).await,
             );
         }
-        host.run(async |front| front.list(ListKind::Full, listed.clone()).await).await;
+        host.run(async |front| front.list(ListKind::Snapshot, listed.clone()).await).await;
         let before = (host.usage(), host.node.balancer.table_sizes(), host.node.backends.pool.usage());
         let endings: Rc<RefCell<BTreeMap<&str, usize>>> = Rc::default();
         host.run(async |front| {
             for round in 0..ROUNDS {
                 // Now and then the list is empty, or names a part of the servers.
                 match round % 400 {
-                    100 => front.list(ListKind::Full, vec![]).await,
-                    130 => front.list(ListKind::Full, listed.clone()).await,
+                    100 => front.list(ListKind::Snapshot, vec![]).await,
+                    130 => front.list(ListKind::Snapshot, listed.clone()).await,
                     200 => {
                         let mut draining = listed[0].clone();
-                        draining.entry.state = ServerState::Draining;
-                        front.list(ListKind::Changes, vec![draining]).await;
+                        draining.entry.state = EndpointState::Draining;
+                        front.list(ListKind::Delta, vec![draining]).await;
                     }
-                    250 => front.list(ListKind::Changes, listed[..1].to_vec()).await,
+                    250 => front.list(ListKind::Delta, listed[..1].to_vec()).await,
                     _ => {}
                 }
                 let mut leaving = Vec::new();
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
-use ottertiller_balancer::{ListKind, Outcome, ServerId, ServerState};
+use ottertiller_balancer::{EndpointId, EndpointState, ListKind, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -31,7 +31,7 @@
 
 /// A connection to a backend. Dropped, it closes at once, whatever is under way on it.
 pub struct Connection {
-    server: ServerId,
+    endpoint: EndpointId,
     /// Which run of the backend, at which address, it leads to.
     epoch: u64,
     /// After an answer it rests: not before then may it carry another request.
@@ -61,7 +61,7 @@
 #[derive(Default)]
 struct Place {
     address: Option<SocketAddr>,
-    state: ServerState,
+    state: EndpointState,
     started: Option<Duration>,
     epoch: u64,
     /// Idle connections, each with when it fell idle; the last used comes last.
@@ -84,13 +84,13 @@
 }
 
 /// A day brings ever new backends. Nothing is sent any more to one that is gone, whoever decided to.
-fn drop_gone(places: &mut BTreeMap<ServerId, Place>) {
-    places.retain(|_, place| place.state != ServerState::Gone);
+fn drop_gone(places: &mut BTreeMap<EndpointId, Place>) {
+    places.retain(|_, place| place.state != EndpointState::Removed);
 }
 
 pub struct Pool {
     pub clock: Clock,
-    places: RefCell<BTreeMap<ServerId, Place>>,
+    places: RefCell<BTreeMap<EndpointId, Place>>,
     open: Rc<Cell<usize>>,
     most_open: usize,
     idle_limit: Duration,
@@ -142,10 +142,10 @@
     /// Takes in news of the list: where backends listen, and which are ready.
     pub fn update(&self, kind: ListKind, backends: &[Backend]) {
         let mut places = self.places.borrow_mut();
-        if matches!(kind, ListKind::Full | ListKind::Cached) {
+        if matches!(kind, ListKind::Snapshot | ListKind::Cached) {
             let listed: std::collections::BTreeSet<_> = backends.iter().map(|b| b.entry.id).collect();
             for (_, place) in places.iter_mut().filter(|(id, _)| !listed.contains(id)) {
-                place.state = ServerState::Gone;
+                place.state = EndpointState::Removed;
                 place.retire(self.next_epoch());
             }
         }
@@ -154,25 +154,25 @@
             let moved = place.address != Some(*address) || place.started != entry.started;
             (place.address, place.started, place.state) = (Some(*address), entry.started, entry.state);
             // What leads to an earlier run, or to a backend that wants nothing new, is of no more use.
-            if moved || entry.state != ServerState::Ready {
+            if moved || entry.state != EndpointState::Ready {
                 place.retire(self.next_epoch());
             }
         }
         drop_gone(&mut places);
     }
 
-    pub fn close_idle(&self, server: ServerId) {
-        if let Some(place) = self.places.borrow_mut().get_mut(&server) {
+    pub fn close_idle(&self, endpoint: EndpointId) {
+        if let Some(place) = self.places.borrow_mut().get_mut(&endpoint) {
             place.idle.clear();
         }
     }
 
     /// Takes the most recently used idle connection, or whichever comes first: one that falls free or a
     /// new one.
-    pub async fn take(self: &Rc<Self>, server: ServerId) -> Delivery {
+    pub async fn take(self: &Rc<Self>, endpoint: EndpointId) -> Delivery {
         let deliver = {
             let mut places = self.places.borrow_mut();
-            let place = places.get_mut(&server).ok_or(Outcome::NotSent)?;
+            let place = places.get_mut(&endpoint).ok_or(Outcome::NotSent)?;
             let now = self.clock.now();
             if let Some(connection) = self.rested(place, now) {
                 return Ok(connection);
@@ -188,16 +188,16 @@
                 }
                 self.open.set(self.open.get() + 1);
                 places = self.places.borrow_mut();
-                let place = places.get_mut(&server).ok_or(Outcome::NotSent)?;
+                let place = places.get_mut(&endpoint).ok_or(Outcome::NotSent)?;
                 place.dialling += 1;
                 let pool = self.clone();
                 spawn_local(async move {
-                    let dialled = pool.dial(server, address, epoch).await;
-                    pool.dialled(server, epoch, dialled);
+                    let dialled = pool.dial(endpoint, address, epoch).await;
+                    pool.dialled(endpoint, epoch, dialled);
                 });
             }
             let (waiting, deliver) = oneshot::channel();
-            places.get_mut(&server).ok_or(Outcome::NotSent)?.waiting.push_back(waiting);
+            places.get_mut(&endpoint).ok_or(Outcome::NotSent)?.waiting.push_back(waiting);
             deliver
         };
         let mut waiter = Waiter { pool: self, deliver };
@@ -220,7 +220,7 @@
     }
 
     /// Opens a connection; its place among the open ones is taken already.
-    async fn dial(self: &Rc<Self>, server: ServerId, address: SocketAddr, epoch: u64) -> Delivery {
+    async fn dial(self: &Rc<Self>, endpoint: EndpointId, address: SocketAddr, epoch: u64) -> Delivery {
         let connected = timeout(self.connect_timeout, TcpStream::connect(address)).await;
         let opened = match connected {
             Ok(Ok(stream)) => {
@@ -247,11 +247,11 @@
             let _ = connection.await; // its end shows in the request on it
         });
         let (task, open) = (task.abort_handle(), self.open.clone());
-        Ok(Connection { server, epoch, rests_until: Duration::ZERO, sender, socket, task, open })
+        Ok(Connection { endpoint, epoch, rests_until: Duration::ZERO, sender, socket, task, open })
     }
 
-    fn dialled(&self, server: ServerId, epoch: u64, dialled: Delivery) {
-        match self.places.borrow_mut().get_mut(&server).filter(|place| place.epoch == epoch) {
+    fn dialled(&self, endpoint: EndpointId, epoch: u64, dialled: Delivery) {
+        match self.places.borrow_mut().get_mut(&endpoint).filter(|place| place.epoch == epoch) {
             Some(place) => place.dialling -= 1,
             // It led to where the backend no longer is, and who waited for it knows.
             None => return,
@@ -263,7 +263,7 @@
             }
             Err(outcome) => outcome,
         };
-        if let Some(place) = self.places.borrow_mut().get_mut(&server) {
+        if let Some(place) = self.places.borrow_mut().get_mut(&endpoint) {
             // More wait than dials can serve: the longest waiting learns that its dial has failed.
             place.waiting.retain(|waiting| !waiting.is_closed());
             while place.waiting.len() > place.dialling {
@@ -289,10 +289,10 @@
 
     /// Takes back a connection that has carried the answer to a request. Once it has rested, it is there for whoever waits then.
     pub fn put(self: &Rc<Self>, mut connection: Connection) {
-        let (now, server) = (self.clock.now(), connection.server);
+        let (now, endpoint) = (self.clock.now(), connection.endpoint);
         connection.rests_until = now + self.rest;
         let mut places = self.places.borrow_mut();
-        let Some(place) = places.get_mut(&server).filter(|place| place.epoch == connection.epoch) else {
+        let Some(place) = places.get_mut(&endpoint).filter(|place| place.epoch == connection.epoch) else {
             return;
         };
         place.idle.push((connection, now));
@@ -301,7 +301,7 @@
             spawn_local(async move {
                 tokio::time::sleep(pool.rest).await;
                 let mut places = pool.places.borrow_mut();
-                let rested = places.get_mut(&server).filter(|place| !place.waiting.is_empty());
+                let rested = places.get_mut(&endpoint).filter(|place| !place.waiting.is_empty());
                 let rested = rested.and_then(|place| pool.rested(place, pool.clock.now()));
                 drop(places);
                 rested.into_iter().for_each(|connection| pool.offer(connection));
@@ -313,7 +313,7 @@
     /// late serves the next request.
     pub fn offer(&self, mut connection: Connection) {
         let mut places = self.places.borrow_mut();
-        let Some(place) = places.get_mut(&connection.server) else { return };
+        let Some(place) = places.get_mut(&connection.endpoint) else { return };
         if !connection.is_usable() || connection.epoch != place.epoch {
             return;
         }
@@ -330,8 +330,8 @@
     /// the one that was decided on. Only what has been written by now makes use of the grace.
     pub fn destination(&self, connection: &Connection) -> Option<SocketAddr> {
         let places = self.places.borrow();
-        let place = places.get(&connection.server).filter(|place| place.epoch == connection.epoch)?;
-        place.address.filter(|_| place.state == ServerState::Ready)
+        let place = places.get(&connection.endpoint).filter(|place| place.epoch == connection.epoch)?;
+        place.address.filter(|_| place.state == EndpointState::Ready)
     }
 }
 
@@ -354,7 +354,7 @@
 #[cfg(test)]
 pub mod tests {
     use super::*;
-    use ottertiller_balancer::ServerEntry;
+    use ottertiller_balancer::EndpointEntry;
     use socket2::SockRef;
     use tokio::net::TcpListener;
     use tokio::task::LocalSet;
@@ -362,7 +362,7 @@
     pub const CONFIG: &str = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
         "settings": {"Classes": [{"Name": "read", "Target": 1, "GiveUp": 1, "Idempotency": "free"}],
         "Rules": {"DrainGrace": 60000}}}"#;
-    pub const SERVER: ServerId = ServerId(1);
+    pub const SERVER: EndpointId = EndpointId(1);
 
     /// A pool that knows one backend, which listens.
     pub fn with_pool<T>(test: impl AsyncFnOnce(Rc<Pool>, TcpListener, Backend) -> T) -> T {
@@ -374,9 +374,9 @@
         LocalSet::new().block_on(&runtime, async {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let pool = Pool::start(Clock::start(), &Config::parse(CONFIG).expect("good"), rest);
-            let entry = ServerEntry { id: SERVER, state: ServerState::Ready, ..ServerEntry::default() };
+            let entry = EndpointEntry { id: SERVER, state: EndpointState::Ready, ..EndpointEntry::default() };
             let backend = Backend { entry, address: listener.local_addr().expect("its address") };
-            pool.update(ListKind::Full, std::slice::from_ref(&backend));
+            pool.update(ListKind::Snapshot, std::slice::from_ref(&backend));
             test(pool, listener, backend).await
         })
     }
@@ -472,7 +472,7 @@
     /// been started again, at its old address or elsewhere.
     #[test]
     fn who_waits_for_a_dial_to_what_a_backend_no_longer_is_learns_so_at_once() {
-        let drains = |backend: &mut Backend| backend.entry.state = ServerState::Draining;
+        let drains = |backend: &mut Backend| backend.entry.state = EndpointState::Draining;
         let restarts = |backend: &mut Backend| backend.entry.started = Some(Duration::from_secs(1));
         for (case, change) in [&drains as &dyn Fn(&mut Backend), &restarts].into_iter().enumerate() {
             with_pool(async |pool, listener, mut backend| {
@@ -483,7 +483,7 @@
                     _ = &mut waiting => panic!("no dial comes up"),
                     () = std::future::ready(()) => {
                         change(&mut backend);
-                        pool.update(ListKind::Changes, &[backend]);
+                        pool.update(ListKind::Delta, &[backend]);
                     }
                 }
                 // Not that its dial has failed, which says nothing of the backend as it is now.
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -9,7 +9,7 @@
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, StatusCode};
-use ottertiller_balancer::Repeat;
+use ottertiller_balancer::Idempotency;
 use ottertiller_balancer::settings::Site;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -67,16 +67,16 @@
         return Err((BAD, "a header stands twice"));
     }
     let idempotency_key = head.headers.get("idempotency-key").cloned();
-    let method = if terms.repeat == Repeat::Safe { Method::GET } else { Method::POST };
+    let method = if terms.idempotency == Idempotency::Idempotent { Method::GET } else { Method::POST };
     if head.method != method {
         return Err((StatusCode::METHOD_NOT_ALLOWED, "wrong method for this class"));
     }
     if method == Method::GET && length > 0 {
         return Err((BAD, "a body where none belongs"));
     }
-    let window = match terms.repeat {
-        Repeat::Keyed { window, .. } if idempotency_key.is_some() => Some(window),
-        Repeat::Keyed { .. } => return Err((BAD, "no Idempotency-Key")),
+    let window = match terms.idempotency {
+        Idempotency::Keyed { window, .. } if idempotency_key.is_some() => Some(window),
+        Idempotency::Keyed { .. } => return Err((BAD, "no Idempotency-Key")),
         _ => None,
     };
     let call_id = head.headers.get("x-call-id").filter(|id| (1..=LONGEST_ID).contains(&id.len()));
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -34,7 +34,7 @@
         let report = raw.map(|raw| named_report(raw, &self.columns));
         match &mut event {
             Event::AttemptEnded(end) => end.report = report,
-            Event::Probed(end) => end.report = report,
+            Event::HealthChecked(end) => end.report = report,
             _ => {}
         }
         let mut actions = Vec::new();
--- a/crates/simulator-adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -2,8 +2,8 @@
 
 use ottertiller_balancer::settings::{Column, millis};
 use ottertiller_balancer::{
-    Action, AttemptEnd, Event, ListKind, LoadReport, NewRequest, Outcome, ProbeEnd, RequestId, ServerEntry,
-    ServerId, ServerState,
+    Action, AttemptEnd, EndpointEntry, EndpointId, EndpointState, Event, HealthCheckEnd, ListKind,
+    LoadReport, NewRequest, Outcome, RequestId,
 };
 use std::io::{self, Read};
 use std::time::Duration;
@@ -83,7 +83,10 @@
     let plain = |event| Ok(Input::Event(event, None));
     match at.u8(0) {
         1 => Ok(Input::Start { seed: at.u64(3), settings: slice(tail, at, 11, 1)?.to_vec() }),
-        2 => plain(Event::List { kind: list_kind(at.u8(3))?, entries: entries(slice(tail, at, 8, ENTRY)?)? }),
+        2 => plain(Event::EndpointList {
+            kind: list_kind(at.u8(3))?,
+            entries: entries(slice(tail, at, 8, ENTRY)?)?,
+        }),
         3 => {
             let flags = at.u8(39);
             plain(Event::Request(NewRequest {
@@ -92,16 +95,16 @@
                 tenant: at.u16(13).into(),
                 key: at.u64(15),
                 remaining: millis(at.f64(23)),
-                cost: (flags & 1 != 0).then(|| millis(at.f64(31))),
+                cost_hint: (flags & 1 != 0).then(|| millis(at.f64(31))),
                 client_retry: flags & 2 != 0,
             }))
         }
-        4 => plain(Event::Started { id: id(), attempt: at.u8(19).into(), server: at.server(20) }),
+        4 => plain(Event::StreamStarted { id: id(), attempt: at.u8(19).into(), endpoint: at.endpoint(20) }),
         5 => Ok(Input::Event(
             Event::AttemptEnded(AttemptEnd {
                 id: id(),
                 attempt: at.u8(11).into(),
-                server: at.server(12),
+                endpoint: at.endpoint(12),
                 outcome: outcome(at.u8(18))?,
                 elapsed: millis(at.f64(19)),
                 finished: at.u8(27) != 0,
@@ -109,18 +112,18 @@
             }),
             at.report(28)?,
         )),
-        6 => plain(Event::ClientGone { id: id() }),
+        6 => plain(Event::ClientDisconnected { id: id() }),
         7 => plain(Event::Timer { token: at.u64(3) }),
         8 => Ok(Input::Event(
-            Event::Probed(ProbeEnd {
-                server: at.server(3),
+            Event::HealthChecked(HealthCheckEnd {
+                endpoint: at.endpoint(3),
                 outcome: outcome(at.u8(9))?,
                 elapsed: millis(at.f64(10)),
                 report: None,
             }),
             at.report(18)?,
         )),
-        9 => plain(Event::Peer { from: at.u32(3), data: slice(tail, at, 7, 1)?.to_vec() }),
+        9 => plain(Event::PeerMessage { from: at.u32(3), data: slice(tail, at, 7, 1)?.to_vec() }),
         10 => Ok(Input::Stop),
         code => Err(format!("unknown event code {code}")),
     }
@@ -136,8 +139,8 @@
 
 fn list_kind(code: u8) -> Result<ListKind, String> {
     match code {
-        0 => Ok(ListKind::Changes),
-        1 => Ok(ListKind::Full),
+        0 => Ok(ListKind::Delta),
+        1 => Ok(ListKind::Snapshot),
         2 => Ok(ListKind::Cached),
         3 => Ok(ListKind::Failed),
         _ => Err(format!("unknown list form {code}")),
@@ -158,7 +161,7 @@
     }
 }
 
-fn entries(bytes: &[u8]) -> Result<Vec<ServerEntry>, String> {
+fn entries(bytes: &[u8]) -> Result<Vec<EndpointEntry>, String> {
     bytes.chunks_exact(ENTRY).map(|entry| Fields(entry).entry()).collect()
 }
 
@@ -200,8 +203,8 @@
         f64::from_be_bytes(self.bytes(at))
     }
     /// Four bytes of address and a port, kept together as one number.
-    fn server(self, at: usize) -> ServerId {
-        ServerId(u64::from(self.u32(at)) << 16 | u64::from(self.u16(at + 4)))
+    fn endpoint(self, at: usize) -> EndpointId {
+        EndpointId(u64::from(self.u32(at)) << 16 | u64::from(self.u16(at + 4)))
     }
     fn report(self, at: usize) -> Result<Option<RawReport>, String> {
         let count = usize::from(self.u8(at));
@@ -211,17 +214,17 @@
         let values = [0, 1, 2, 3].map(|i| self.f32(at + 1 + 4 * i));
         Ok((count > 0).then_some((values, count)))
     }
-    fn entry(self) -> Result<ServerEntry, String> {
+    fn entry(self) -> Result<EndpointEntry, String> {
         let started = self.f64(15);
-        Ok(ServerEntry {
-            id: self.server(0),
+        Ok(EndpointEntry {
+            id: self.endpoint(0),
             zone: self.u8(6),
             kind: self.u8(7),
             cell: self.u16(8),
             state: match self.u8(10) {
-                0 => ServerState::Gone,
-                1 => ServerState::Draining,
-                2 => ServerState::Ready,
+                0 => EndpointState::Removed,
+                1 => EndpointState::Draining,
+                2 => EndpointState::Ready,
                 code => return Err(format!("unknown server state {code}")),
             },
             weight: self.f32(11),
@@ -243,24 +246,24 @@
     pub fn push(&mut self, instance: u16, action: &Action) {
         match action {
             Action::Fail { id } => self.record(65, instance).u64(id.0),
-            Action::Probe { server } => self.record(66, instance).server(*server),
+            Action::HealthCheck { endpoint } => self.record(66, instance).endpoint(*endpoint),
             Action::Log { text } => self.text(67, instance, text),
             Action::SetTimer { after, token } => self.record(68, instance).millis(*after).u64(*token),
-            Action::Cancel { id, attempt } => self.record(69, instance).u64(id.0).u8(*attempt as u8),
-            Action::Subscribe { on } => self.record(70, instance).u8((*on).into()),
-            Action::FetchList => self.record(72, instance),
-            Action::Tell { to, data } => {
+            Action::CancelAttempt { id, attempt } => self.record(69, instance).u64(id.0).u8(*attempt as u8),
+            Action::Subscribe { enabled } => self.record(70, instance).u8((*enabled).into()),
+            Action::FetchEndpointList => self.record(72, instance),
+            Action::SendToPeer { to, data } => {
                 let at = self.tail.len() as u32;
                 self.tail.extend(data);
                 let to = to.map_or(u16::MAX, |to| to as u16);
                 self.record(73, instance).u16(to).u32(at).u32(data.len() as u32)
             }
-            Action::CloseIdle { server } => self.record(74, instance).server(*server),
-            Action::Refuse { id, retry_after } => {
+            Action::CloseIdleConnections { endpoint } => self.record(74, instance).endpoint(*endpoint),
+            Action::Shed { id, retry_after } => {
                 self.record(75, instance).u64(id.0).millis(retry_after.unwrap_or_default())
             }
-            Action::Send { id, server, timeout } => {
-                self.record(76, instance).u64(id.0).server(*server).millis(*timeout)
+            Action::StartAttempt { id, endpoint, timeout } => {
+                self.record(76, instance).u64(id.0).endpoint(*endpoint).millis(*timeout)
             }
         };
         self.close_record();
@@ -314,8 +317,8 @@
     fn millis(&mut self, value: Duration) -> &mut Self {
         self.put(&(value.as_micros() as f64 / 1000.0).to_be_bytes())
     }
-    fn server(&mut self, server: ServerId) -> &mut Self {
-        self.u32((server.0 >> 16) as u32).u16(server.0 as u16)
+    fn endpoint(&mut self, endpoint: EndpointId) -> &mut Self {
+        self.u32((endpoint.0 >> 16) as u32).u16(endpoint.0 as u16)
     }
 }
 
--- a/crates/simulator-adapter/src/wire_tests.rs
+++ b/crates/simulator-adapter/src/wire_tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use ottertiller_balancer::{AttemptEnd, ProbeEnd};
+use ottertiller_balancer::{AttemptEnd, HealthCheckEnd};
 
 fn hex(text: &str) -> Vec<u8> {
     let digits: Vec<u8> = text.bytes().filter(|b| !b.is_ascii_whitespace()).collect();
@@ -65,7 +65,7 @@
         tenant: 0,
         key: 0x91f0_3b7c_55d2_0a64,
         remaining: ms(240.0),
-        cost: Some(ms(12.0)),
+        cost_hint: Some(ms(12.0)),
         client_retry: false,
     };
     assert_eq!(
@@ -73,7 +73,7 @@
         [
             (3, Input::Event(Event::Request(request), None)),
             (3, Input::Event(Event::Timer { token: 0x4d }, None)),
-            (5, Input::Event(Event::ClientGone { id: RequestId(0x0004_ed23_0e6f_2b19) }, None)),
+            (5, Input::Event(Event::ClientDisconnected { id: RequestId(0x0004_ed23_0e6f_2b19) }, None)),
         ]
     );
 }
@@ -81,8 +81,9 @@
 #[test]
 fn the_shown_reply_of_two_records_and_a_log_line_is_byte_exact() {
     let mut reply = Reply::default();
-    let server = ServerId(0x0a12_4a07_1b5b);
-    reply.push(3, &Action::Send { id: RequestId(0x000f_b047_5d3a_91c4), server, timeout: ms(80.0) });
+    let endpoint = EndpointId(0x0a12_4a07_1b5b);
+    reply
+        .push(3, &Action::StartAttempt { id: RequestId(0x000f_b047_5d3a_91c4), endpoint, timeout: ms(80.0) });
     reply.push(3, &Action::SetTimer { after: ms(500.0), token: 0x4d });
     reply.push(5, &Action::Log { text: "two servers known".into() });
     let mut expected = hex("0000000c 00000071 00000003");
@@ -98,23 +99,23 @@
     let tail = "0a124a07 1b5b 00 00 0000 02 3f800000 0000000000000000
                 0a9011f2 1b84 01 00 0000 02 3fc00000 40b7d40000000000";
     let (_, input) = one("02 0003 02 00000029 00000000 00000002", tail);
-    let near = ServerEntry {
-        id: ServerId(0x0a12_4a07_1b5b),
+    let near = EndpointEntry {
+        id: EndpointId(0x0a12_4a07_1b5b),
         zone: 0,
         kind: 0,
         cell: 0,
-        state: ServerState::Ready,
+        state: EndpointState::Ready,
         weight: 1.0,
         started: None,
     };
-    let far = ServerEntry {
-        id: ServerId(0x0a90_11f2_1b84),
+    let far = EndpointEntry {
+        id: EndpointId(0x0a90_11f2_1b84),
         zone: 1,
         weight: 1.5,
         started: Some(ms(6100.0)),
         ..near
     };
-    let list = Event::List { kind: ListKind::Cached, entries: vec![near, far] };
+    let list = Event::EndpointList { kind: ListKind::Cached, entries: vec![near, far] };
     assert_eq!(input, Input::Event(list, None));
 }
 
@@ -124,7 +125,7 @@
     let end = AttemptEnd {
         id: RequestId(0x000f_b047_5d3a_91c4),
         attempt: 0,
-        server: ServerId(0x0a12_4a07_1b5b),
+        endpoint: EndpointId(0x0a12_4a07_1b5b),
         outcome: Outcome::Served,
         elapsed: ms(18.5),
         finished: true,
@@ -136,9 +137,9 @@
 #[test]
 fn a_probe_result_brings_its_report_under_the_columns_names() {
     let (_, input) = one("08 0001 0a124a07 1b5b 01 3ff0000000000000 03 40400000 3f800000 3f000000", "");
-    let Input::Event(Event::Probed(end), Some(raw)) = input else { panic!("{input:?}") };
-    let expected = ProbeEnd {
-        server: ServerId(0x0a12_4a07_1b5b),
+    let Input::Event(Event::HealthChecked(end), Some(raw)) = input else { panic!("{input:?}") };
+    let expected = HealthCheckEnd {
+        endpoint: EndpointId(0x0a12_4a07_1b5b),
         outcome: Outcome::Served,
         elapsed: ms(1.0),
         report: None,
@@ -155,29 +156,29 @@
     assert_eq!((who, input), (7, Input::Start { seed: 9, settings: b"{}".to_vec() }));
     assert_eq!(one("0a 0007", "").1, Input::Stop);
     let (_, input) = one("04 0001 0000000000000005 4000000000000000 02 00000000 0007", "");
-    let started = Event::Started { id: RequestId(5), attempt: 2, server: ServerId(7) };
+    let started = Event::StreamStarted { id: RequestId(5), attempt: 2, endpoint: EndpointId(7) };
     assert_eq!(input, Input::Event(started, None));
     let (_, input) = one("09 0001 00000002 00000000 00000002", "6869");
-    assert_eq!(input, Input::Event(Event::Peer { from: 2, data: b"hi".to_vec() }, None));
+    assert_eq!(input, Input::Event(Event::PeerMessage { from: 2, data: b"hi".to_vec() }, None));
 }
 
 #[test]
 fn the_other_actions_are_byte_exact() {
-    let (id, server) = (RequestId(5), ServerId(0x0102_0304_0506));
+    let (id, endpoint) = (RequestId(5), EndpointId(0x0102_0304_0506));
     let cases = [
         (Action::Fail { id }, "41 0003 0000000000000005", ""),
-        (Action::Probe { server }, "42 0003 01020304 0506", ""),
-        (Action::Cancel { id, attempt: 2 }, "45 0003 0000000000000005 02", ""),
-        (Action::Subscribe { on: true }, "46 0003 01", ""),
-        (Action::FetchList, "48 0003", ""),
-        (Action::Tell { to: None, data: b"hi 7".to_vec() }, "49 0003 ffff 00000000 00000004", "68692037"),
-        (Action::CloseIdle { server }, "4a 0003 01020304 0506", ""),
+        (Action::HealthCheck { endpoint }, "42 0003 01020304 0506", ""),
+        (Action::CancelAttempt { id, attempt: 2 }, "45 0003 0000000000000005 02", ""),
+        (Action::Subscribe { enabled: true }, "46 0003 01", ""),
+        (Action::FetchEndpointList, "48 0003", ""),
         (
-            Action::Refuse { id, retry_after: Some(ms(500.0)) },
-            "4b 0003 0000000000000005 407f400000000000",
-            "",
+            Action::SendToPeer { to: None, data: b"hi 7".to_vec() },
+            "49 0003 ffff 00000000 00000004",
+            "68692037",
         ),
-        (Action::Refuse { id, retry_after: None }, "4b 0003 0000000000000005", ""),
+        (Action::CloseIdleConnections { endpoint }, "4a 0003 01020304 0506", ""),
+        (Action::Shed { id, retry_after: Some(ms(500.0)) }, "4b 0003 0000000000000005 407f400000000000", ""),
+        (Action::Shed { id, retry_after: None }, "4b 0003 0000000000000005", ""),
     ];
     for (action, record, tail) in cases {
         let mut reply = Reply::default();
@@ -233,12 +234,12 @@
 fn ids_go_out_as_they_came_in() {
     let tail = "0a90ffff 1b84 02 00 0000 02 3f800000 0000000000000000";
     let (_, input) = one("02 0003 01 00000001 00000000 00000001", tail);
-    let Input::Event(Event::List { entries, .. }, None) = input else { panic!("{input:?}") };
+    let Input::Event(Event::EndpointList { entries, .. }, None) = input else { panic!("{input:?}") };
     let (_, input) = one("03 0003 000fffffffffffff 0001 0002 0000000000000000 406e000000000000", "");
     let Input::Event(Event::Request(new), None) = input else { panic!("{input:?}") };
-    assert_eq!((new.class, new.tenant, new.cost), (1, 2, None));
+    assert_eq!((new.class, new.tenant, new.cost_hint), (1, 2, None));
     let mut reply = Reply::default();
-    reply.push(3, &Action::Send { id: new.id, server: entries[0].id, timeout: new.remaining });
+    reply.push(3, &Action::StartAttempt { id: new.id, endpoint: entries[0].id, timeout: new.remaining });
     let expected = padded("4c 0003 000fffffffffffff 0a90ffff 1b84 406e000000000000", ACTION);
     assert_eq!(reply.frame(1)[12..], expected);
 }
--- a/crates/simulator-adapter/tests/adapter.rs
+++ b/crates/simulator-adapter/tests/adapter.rs
@@ -44,16 +44,16 @@
         self.record(1, who, &[&9u64.to_be_bytes(), &at, &(settings.len() as u32).to_be_bytes()])
     }
     /// A complete list of so many ready servers.
-    fn list(mut self, who: u16, servers: u16) -> Self {
+    fn list(mut self, who: u16, endpoints: u16) -> Self {
         let at = (self.tail.len() as u32).to_be_bytes();
-        for number in 0..servers {
+        for number in 0..endpoints {
             let mut entry = vec![10, 0, 0, 1];
             entry.extend(number.to_be_bytes());
             entry.extend([0, 0, 0, 0, 2]);
             entry.resize(23, 0);
             self.tail.extend(entry);
         }
-        self.record(2, who, &[&[1], &1u32.to_be_bytes(), &at, &u32::from(servers).to_be_bytes()])
+        self.record(2, who, &[&[1], &1u32.to_be_bytes(), &at, &u32::from(endpoints).to_be_bytes()])
     }
     fn request(self, who: u16, id: u64) -> Self {
         let remaining = 900f64.to_be_bytes();
