Lay the node's modules out by concern, with messages and limits below them all

downstream, upstream, discovery, dispatcher, request table, memory budget, logging and clock. What the parts tell one another is in message.rs and what they share in limits.rs, neither of which depends on any part. Moves and names only.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,6 @@
 //! What a node is told at its start: the file that `PROXY_CONFIG` names.
 
-use crate::front::READ_BUFFER;
+use crate::limits::READ_BUFFER_BYTES;
 use ottertiller_balancer::settings::{self, Site};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -12,7 +12,7 @@
 /// What the program takes by itself, its code, tables and queues: several times what is measured.
 const OWN_BYTES: usize = 8 << 20;
 /// What a connection may take: hyper's buffers either way, what is read on ahead, and its tasks.
-const CONNECTION_BYTES: usize = READ_BUFFER + 16 * 1024;
+const CONNECTION_BYTES: usize = READ_BUFFER_BYTES + 16 * 1024;
 /// Room for bodies at the least.
 const LEAST_BODY_BYTES: usize = 1 << 20;
 
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -1,10 +1,10 @@
 //! Discovery: the list of backends, the watch that keeps it fresh, and the backends' numbers.
 
 use crate::config::Config;
-use crate::lists::{LONGEST, Lists, TooLong};
-use crate::log::log;
-use crate::node::Message;
+use crate::logging::log;
+use crate::message::{DiscoveryCommand, EndpointListUpdate, ListedEndpoint, Message};
 use bytes::Bytes;
+use framing::{LONGEST, Lists, TooLong};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -26,6 +26,8 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
+mod framing;
+
 const LIST: &str = "/registry/instances";
 /// A watch says something every 2 s; one that is silent for so long is broken, whatever TCP says. What it misses
 /// counts as told 6 s after it fell silent, and what a call misses 6 s after discovery can be reached again: by then
@@ -37,25 +39,6 @@
 /// A node that knows backends from before is ready at the latest when its first call has taken so long.
 const READY_AFTER: Duration = Duration::from_secs(1);
 
-/// A line of the list, and where that backend listens.
-#[derive(Clone, Debug)]
-pub struct Backend {
-    pub entry: EndpointEntry,
-    pub address: SocketAddr,
-}
-
-/// News of the list.
-pub struct News {
-    pub kind: ListKind,
-    pub backends: Vec<Backend>,
-}
-
-/// What the module asks of discovery, where the list must be asked for.
-pub enum Order {
-    Subscribe(bool),
-    Fetch,
-}
-
 #[derive(Deserialize)]
 struct List {
     index: Option<u64>,
@@ -123,7 +106,7 @@
     }
 
     /// Keeps the list fresh, from `moved`'s address whenever that changes.
-    pub async fn run(mut self, orders: mpsc::Receiver<Order>, moved: watch::Receiver<SocketAddr>) {
+    pub async fn run(mut self, orders: mpsc::Receiver<DiscoveryCommand>, moved: watch::Receiver<SocketAddr>) {
         let known = self.known.take().unwrap_or_default();
         if self.take(known.as_bytes(), Some(ListKind::Cached)).await {
             // It may be old: the first call may still bring a newer one before clients come.
@@ -171,7 +154,11 @@
     }
 
     /// Lists must be asked for: the module says when. Every call that fails is told to it.
-    async fn obey(&mut self, mut orders: mpsc::Receiver<Order>, mut moved: watch::Receiver<SocketAddr>) {
+    async fn obey(
+        &mut self,
+        mut orders: mpsc::Receiver<DiscoveryCommand>,
+        mut moved: watch::Receiver<SocketAddr>,
+    ) {
         // What the module asked for, and whether there is a watch: it learns of a broken one and asks anew.
         let (mut wanted, mut watching) = (false, false);
         loop {
@@ -191,8 +178,8 @@
                 }
             };
             match order {
-                Some(Order::Subscribe(on)) => (wanted, watching) = (on, on),
-                Some(Order::Fetch) => loop {
+                Some(DiscoveryCommand::Subscribe(on)) => (wanted, watching) = (on, on),
+                Some(DiscoveryCommand::Fetch) => loop {
                     let fetched = tokio::select! {
                         fetched = self.fetch() => fetched,
                         address = next(&mut moved) => {
@@ -314,7 +301,7 @@
         true
     }
 
-    fn read(&self, line: Line) -> Result<Backend, String> {
+    fn read(&self, line: Line) -> Result<ListedEndpoint, String> {
         let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
         let zone = if line.zone.is_empty() { Some(0) } else { place(&self.site.zone_names, &line.zone) };
         let zone = zone.and_then(|zone| u8::try_from(zone).ok());
@@ -334,11 +321,11 @@
             weight: line.weight,
             started: (line.since_ms > 0.0).then(|| millis(line.since_ms)),
         };
-        Ok(Backend { entry, address: line.address })
+        Ok(ListedEndpoint { entry, address: line.address })
     }
 
-    async fn tell(&self, kind: ListKind, backends: Vec<Backend>) {
-        let _ = self.messages.send(Message::List(News { kind, backends })).await; // or the node has ended
+    async fn tell(&self, kind: ListKind, endpoints: Vec<ListedEndpoint>) {
+        let _ = self.messages.send(Message::EndpointList(EndpointListUpdate { kind, endpoints })).await; // or the node has ended
     }
 }
 
@@ -367,5 +354,4 @@
 }
 
 #[cfg(test)]
-#[path = "discovery_tests.rs"]
 mod tests;
--- a/crates/node/src/discovery_tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -2,11 +2,11 @@
 //! is the runtime's own here, and moves on only when everything waits.
 
 use super::*;
-use crate::Clock;
-use crate::backend::Backends;
-use crate::memory::Budget;
-use crate::node::Node;
-use crate::pool::{Pool, REST};
+use crate::clock::Clock;
+use crate::dispatcher::Dispatcher;
+use crate::memory_budget::Budget;
+use crate::upstream::attempt::Upstream;
+use crate::upstream::pool::{Pool, REST};
 use std::cell::RefCell;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpSocket;
@@ -96,8 +96,8 @@
         let (orders, discovery_orders) = mpsc::channel(16);
         let (_moves, moved) = watch::channel(config.discovery);
         let pool = Pool::start(clock, &config, REST);
-        let backends = Backends::new(clock, &config, Budget::new(1 << 20), pool);
-        let mut node = Node::new(clock, &config, backends, messages.clone(), orders);
+        let backends = Upstream::new(clock, &config, Budget::new(1 << 20), pool);
+        let mut node = Dispatcher::new(clock, &config, backends, messages.clone(), orders);
         let node = spawn_local(async move { node.run(&mut inbox).await });
         // The first call is not after a failed one: the failure lasts for so long from there.
         let first = Duration::from_secs(1)
--- a/crates/node/src/node.rs
+++ b/crates/node/src/dispatcher.rs
@@ -1,18 +1,15 @@
 //! The node itself: the only owner of the [`Balancer`]. One loop takes events in and carries actions out;
 //! it decides nothing. Its request table alone gives final answers, and gives each exactly once.
 
-use crate::Clock;
-use crate::backend::{Attempt, Backends, Ended, ProbeEnded};
+use crate::clock::Clock;
 use crate::config::Config;
-use crate::discovery::{News, Order};
-use crate::in_flight::{Due, NewAttempt, RequestTable};
-use crate::log::{log, log_peer};
-use bytes::Bytes;
-use hyper::Method;
-use hyper::header::HeaderValue;
-use hyper::http::uri::PathAndQuery;
+use crate::logging::{log, log_peer};
+use crate::message::{
+    AttemptResult, DiscoveryCommand, FinalAnswer, HealthCheckResult, IncomingRequest, Message, StopReason,
+};
+use crate::request_table::{Due, NewAttempt, RequestTable};
+use crate::upstream::attempt::{Attempt, Upstream};
 use ottertiller_balancer::*;
-use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,93 +17,29 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
 
-/// What reaches the node.
-pub enum Message {
-    Request(Box<Taken>),
-    ClientGone(RequestId),
-    Attempt(Ended),
-    Probe(ProbeEnded),
-    List(News),
-    /// The node ends: whoever is still owed an answer gets one.
-    End,
-}
-
-/// A request that the front has taken.
-pub struct Taken {
-    pub new: NewRequest,
-    /// When its last byte had come.
-    pub at: Duration,
-    pub forward: Forward,
-    pub reply: oneshot::Sender<Answer>,
-}
-
-/// A final answer.
-#[derive(Debug)]
-pub enum Answer {
-    Served(Bytes),
-    Refused(Option<Duration>),
-    Failed,
-    TimedOut,
-}
-
-/// What all attempts of a request share: what goes on unchanged, and what binds them.
-pub struct Forward {
-    pub method: Method,
-    pub path: PathAndQuery,
-    pub call_id: HeaderValue,
-    pub idempotency_key: Option<HeaderValue>,
-    /// `None` once nothing more is sent.
-    pub body: RefCell<Option<Bytes>>,
-    /// When the client stops waiting.
-    pub deadline: Duration,
-    /// How long backends remember a keyed request, from the first byte of the first attempt.
-    pub window: Option<Duration>,
-    pub first_byte: Cell<Option<Duration>>,
-}
-
-impl Forward {
-    /// The body to be sent, unless the request has its final answer or its client has left: then nothing more
-    /// is sent for it.
-    pub fn body(&self) -> Option<Bytes> {
-        self.body.borrow().clone()
-    }
-
-    /// Nothing more is sent for the request. Its body gives its part of the memory budget back as soon as what
-    /// is being written now has gone.
-    pub fn close(&self) {
-        self.body.replace(None);
-    }
-}
-
-/// Why an attempt is stopped.
-pub enum Stop {
-    TimedOut,
-    Cancelled,
-}
-
-pub struct Node {
+pub struct Dispatcher {
     clock: Clock,
     balancer: Balancer,
-    backends: Rc<Backends>,
+    upstream: Rc<Upstream>,
     messages: mpsc::Sender<Message>,
-    discovery: mpsc::Sender<Order>,
+    discovery: mpsc::Sender<DiscoveryCommand>,
     tick: Duration,
     max_attempts: usize,
     requests: RequestTable,
 }
 
-impl Node {
+impl Dispatcher {
     pub fn new(
         clock: Clock,
         config: &Config,
-        backends: Rc<Backends>,
+        upstream: Rc<Upstream>,
         messages: mpsc::Sender<Message>,
-        discovery: mpsc::Sender<Order>,
+        discovery: mpsc::Sender<DiscoveryCommand>,
     ) -> Self {
         let settings = config.site.settings.clone();
-        Node {
+        Dispatcher {
             clock,
-            backends,
+            upstream,
             messages,
             discovery,
             tick: settings.tick,
@@ -136,7 +69,7 @@
         while let Some(due) = self.requests.pop_due(now) {
             match due {
                 Due::Balancer(token) => self.decide(Event::Timer { token }),
-                Due::Attempt(id, number) => self.requests.stop_attempt(id, number, Stop::TimedOut),
+                Due::Attempt(id, number) => self.requests.stop_attempt(id, number, StopReason::TimedOut),
                 Due::Deadline(id) => self.overdue(id),
             }
         }
@@ -145,31 +78,31 @@
     fn take(&mut self, message: Message) {
         match message {
             Message::Request(taken) => self.on_request(taken),
-            Message::ClientGone(id) => {
+            Message::ClientDisconnected(id) => {
                 if self.requests.abandon(id) {
                     self.decide(Event::ClientDisconnected { id });
                 }
             }
             Message::Attempt(ended) => self.on_attempt(ended),
-            Message::Probe(ProbeEnded { endpoint, outcome, sent, report }) => {
+            Message::HealthCheck(HealthCheckResult { endpoint, outcome, sent, report }) => {
                 let elapsed = self.clock.now().saturating_sub(sent);
                 self.decide(Event::HealthChecked(HealthCheckEnd { endpoint, outcome, elapsed, report }));
             }
-            Message::End => {
+            Message::Shutdown => {
                 for id in self.requests.unanswered() {
                     self.overdue(id);
                 }
             }
-            Message::List(news) => {
-                self.backends.pool.update(news.kind, &news.backends);
-                let entries = news.backends.into_iter().map(|backend| backend.entry).collect();
-                self.decide(Event::EndpointList { kind: news.kind, entries });
+            Message::EndpointList(update) => {
+                self.upstream.pool.update(update.kind, &update.endpoints);
+                let entries = update.endpoints.into_iter().map(|endpoint| endpoint.entry).collect();
+                self.decide(Event::EndpointList { kind: update.kind, entries });
             }
         }
     }
 
-    fn on_request(&mut self, taken: Box<Taken>) {
-        let Taken { mut new, at, forward, reply } = *taken;
+    fn on_request(&mut self, taken: Box<IncomingRequest>) {
+        let IncomingRequest { mut new, received: at, forward, reply } = *taken;
         let (id, deadline) = (new.id, forward.deadline);
         let waited = self.clock.now().saturating_sub(at);
         new.remaining = new.remaining.saturating_sub(waited);
@@ -179,10 +112,10 @@
         self.decide(Event::Request(new));
     }
 
-    fn on_attempt(&mut self, ended: Ended) {
+    fn on_attempt(&mut self, ended: AttemptResult) {
         let Some(attempt) = self.requests.attempt_ended(ended.id, ended.number) else { return };
         // The first served answer is the client's; a later one only informs the module.
-        let served = ended.body.is_some_and(|body| self.requests.answer(ended.id, Answer::Served(body)));
+        let served = ended.body.is_some_and(|body| self.requests.answer(ended.id, FinalAnswer::Served(body)));
         self.decide(Event::AttemptEnded(AttemptEnd {
             id: ended.id,
             attempt: ended.number,
@@ -196,7 +129,7 @@
 
     /// Whatever the module does, nobody is left without an answer at the deadline.
     fn overdue(&mut self, id: RequestId) {
-        if self.requests.answer(id, Answer::TimedOut) {
+        if self.requests.answer(id, FinalAnswer::TimedOut) {
             log_peer(format_args!("request {} was unanswered when its time was up: failed", id.0));
             self.decide(Event::ClientDisconnected { id });
         }
@@ -221,19 +154,21 @@
         match action {
             Action::StartAttempt { id, endpoint, timeout } => return self.send(id, endpoint, timeout),
             Action::Shed { id, retry_after } => {
-                self.requests.answer(id, Answer::Refused(retry_after));
+                self.requests.answer(id, FinalAnswer::Shed(retry_after));
             }
             Action::Fail { id } => {
-                self.requests.answer(id, Answer::Failed);
+                self.requests.answer(id, FinalAnswer::Failed);
+            }
+            Action::CancelAttempt { id, attempt } => {
+                self.requests.stop_attempt(id, attempt, StopReason::Cancelled)
             }
-            Action::CancelAttempt { id, attempt } => self.requests.stop_attempt(id, attempt, Stop::Cancelled),
             Action::SetTimer { after, token } => {
                 self.requests.set_timer(self.clock.now() + after, Due::Balancer(token));
             }
             Action::HealthCheck { endpoint } => self.probe(endpoint),
-            Action::CloseIdleConnections { endpoint } => self.backends.pool.close_idle(endpoint),
-            Action::Subscribe { enabled } => self.order(Order::Subscribe(enabled)),
-            Action::FetchEndpointList => self.order(Order::Fetch),
+            Action::CloseIdleConnections { endpoint } => self.upstream.pool.close_idle(endpoint),
+            Action::Subscribe { enabled } => self.order(DiscoveryCommand::Subscribe(enabled)),
+            Action::FetchEndpointList => self.order(DiscoveryCommand::Fetch),
             // No message between nodes: the module sends none, and the site allows none.
             Action::SendToPeer { .. } => log("a message to another node was dropped"),
             Action::Log { text } => log(text),
@@ -263,23 +198,25 @@
         self.requests.attempt_started(id, endpoint, now, stop);
         self.requests.set_timer(until, Due::Attempt(id, number));
         let attempt = Attempt { id, number, endpoint, until, forward };
-        let (backends, messages) = (self.backends.clone(), self.messages.clone());
+        let (upstream, messages) = (self.upstream.clone(), self.messages.clone());
         spawn_local(async move {
-            let ended = backends.attempt(attempt, stopped).await;
+            let ended = upstream.attempt(attempt, stopped).await;
             let _ = messages.send(Message::Attempt(ended)).await; // fails only when the node has ended
         });
         None
     }
 
     fn probe(&mut self, endpoint: EndpointId) {
-        let (sent, backends, messages) = (self.clock.now(), self.backends.clone(), self.messages.clone());
+        let (sent, upstream, messages) = (self.clock.now(), self.upstream.clone(), self.messages.clone());
         spawn_local(async move {
-            let (outcome, report) = backends.probe(endpoint).await;
-            let _ = messages.send(Message::Probe(ProbeEnded { endpoint, outcome, sent, report })).await;
+            let (outcome, report) = upstream.probe(endpoint).await;
+            let _ = messages
+                .send(Message::HealthCheck(HealthCheckResult { endpoint, outcome, sent, report }))
+                .await;
         });
     }
 
-    fn order(&mut self, order: Order) {
+    fn order(&mut self, order: DiscoveryCommand) {
         if self.discovery.try_send(order).is_err() {
             log("discovery has too much to do: a call was dropped");
         }
@@ -287,5 +224,5 @@
 }
 
 #[cfg(test)]
-#[path = "node_tests.rs"]
+#[path = "dispatcher_tests.rs"]
 mod tests;
--- a/crates/node/src/node_tests.rs
+++ b/crates/node/src/dispatcher_tests.rs
@@ -2,10 +2,15 @@
 //! runtime's own here, and moves on only when everything waits.
 
 use super::*;
-use crate::discovery::Backend;
-use crate::in_flight::Usage;
-use crate::memory::Budget;
-use crate::pool::{Pool, REST};
+use crate::memory_budget::Budget;
+use crate::message::{EndpointListUpdate, ForwardedRequest, ListedEndpoint};
+use crate::request_table::Usage;
+use crate::upstream::pool::{Pool, REST};
+use bytes::Bytes;
+use hyper::Method;
+use hyper::header::HeaderValue;
+use hyper::http::uri::PathAndQuery;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -45,7 +50,7 @@
 
 /// A node, and what its front and discovery would hold.
 struct Host {
-    node: Node,
+    node: Dispatcher,
     inbox: mpsc::Receiver<Message>,
     front: Front,
 }
@@ -64,8 +69,8 @@
         let (orders, _) = mpsc::channel(16);
         let budget = Budget::new(BUDGET);
         let pool = Pool::start(clock, config, REST);
-        let backends = Backends::new(clock, config, budget.clone(), pool);
-        let node = Node::new(clock, config, backends, messages.clone(), orders);
+        let upstream = Upstream::new(clock, config, budget.clone(), pool);
+        let node = Dispatcher::new(clock, config, upstream, messages.clone(), orders);
         Host { node, inbox, front: Front { clock, messages, budget, requests: Cell::new(0) } }
     }
 
@@ -84,8 +89,8 @@
 }
 
 impl Front {
-    async fn list(&self, kind: ListKind, backends: Vec<Backend>) {
-        let sent = self.messages.send(Message::List(News { kind, backends })).await;
+    async fn list(&self, kind: ListKind, endpoints: Vec<ListedEndpoint>) {
+        let sent = self.messages.send(Message::EndpointList(EndpointListUpdate { kind, endpoints })).await;
         sent.expect("the node runs");
         sleep(Duration::from_millis(1)).await; // it is taken in
     }
@@ -96,7 +101,7 @@
         class: usize,
         about: &str,
         remaining: Duration,
-    ) -> (RequestId, oneshot::Receiver<Answer>) {
+    ) -> (RequestId, oneshot::Receiver<FinalAnswer>) {
         self.requests.set(self.requests.get() + 1);
         let id = RequestId(self.requests.get());
         let now = self.clock.now();
@@ -104,19 +109,19 @@
             [(Method::GET, "read"), (Method::POST, "submit"), (Method::POST, "correct")][class].clone();
         let path = format!("/{name}/{about}").parse::<PathAndQuery>().expect("a path");
         let body = if class == READ { Bytes::new() } else { self.body() };
-        let forward = Forward {
+        let forward = ForwardedRequest {
             method,
             path,
             call_id: HeaderValue::from(id.0),
             idempotency_key: (class == SUBMIT).then(|| HeaderValue::from(id.0)),
             body: RefCell::new(Some(body)),
             deadline: now + remaining,
-            window: (class == SUBMIT).then_some(Duration::from_secs(60)),
+            idempotency_window: (class == SUBMIT).then_some(Duration::from_secs(60)),
             first_byte: Cell::new(None),
         };
         let (reply, answer) = oneshot::channel();
         let new = NewRequest { id, class, remaining, ..NewRequest::default() };
-        let taken = Box::new(Taken { new, at: now, forward, reply });
+        let taken = Box::new(IncomingRequest { new, received: now, forward, reply });
         self.messages.send(Message::Request(taken)).await.expect("the node runs");
         (id, answer)
     }
@@ -127,7 +132,7 @@
     }
 
     async fn leave(&self, id: RequestId) {
-        self.messages.send(Message::ClientGone(id)).await.expect("the node runs");
+        self.messages.send(Message::ClientDisconnected(id)).await.expect("the node runs");
     }
 }
 
@@ -168,7 +173,7 @@
     }
 }
 
-async fn backend(id: u64, load: &'static str) -> Backend {
+async fn backend(id: u64, load: &'static str) -> ListedEndpoint {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("its address");
     spawn_local(async move {
@@ -179,9 +184,9 @@
     listed(id, address)
 }
 
-fn listed(id: u64, address: SocketAddr) -> Backend {
+fn listed(id: u64, address: SocketAddr) -> ListedEndpoint {
     let entry = EndpointEntry { id: EndpointId(id), state: EndpointState::Ready, ..EndpointEntry::default() };
-    Backend { entry, address }
+    ListedEndpoint { entry, address }
 }
 
 fn in_virtual_time(test: impl Future<Output = ()>) {
@@ -189,8 +194,8 @@
     LocalSet::new().block_on(&runtime.expect("a runtime"), test);
 }
 
-fn is_refused(answer: &Answer) -> bool {
-    matches!(answer, Answer::Refused(Some(after)) if *after == Duration::from_millis(500))
+fn is_refused(answer: &FinalAnswer) -> bool {
+    matches!(answer, FinalAnswer::Shed(Some(after)) if *after == Duration::from_millis(500))
 }
 
 #[test]
@@ -282,7 +287,10 @@
                 })
                 .await;
             assert_eq!(host.usage().0.requests, 1, "it is held");
-            host.node.take(Message::List(News { kind: ListKind::Snapshot, backends: vec![] }));
+            host.node.take(Message::EndpointList(EndpointListUpdate {
+                kind: ListKind::Snapshot,
+                endpoints: vec![],
+            }));
             let retry_after = None;
             let action = if refuse { Action::Shed { id, retry_after } } else { Action::Fail { id } };
             host.node.act(action);
@@ -310,7 +318,7 @@
                 .await;
             assert_eq!(host.usage().0.requests, 1, "it has an attempt out");
             let answer = host.run(async |_| answer.await.expect("an answer")).await;
-            assert!(!matches!(answer, Answer::Served(_)), "{answer:?}");
+            assert!(!matches!(answer, FinalAnswer::Served(_)), "{answer:?}");
             host.run(async |_| sleep(SETTLED).await).await;
             assert_eq!(host.usage(), before);
         }
@@ -373,7 +381,7 @@
             );
         }
         host.run(async |front| front.list(ListKind::Snapshot, listed.clone()).await).await;
-        let before = (host.usage(), host.node.balancer.table_sizes(), host.node.backends.pool.usage());
+        let before = (host.usage(), host.node.balancer.table_sizes(), host.node.upstream.pool.usage());
         let endings: Rc<RefCell<BTreeMap<&str, usize>>> = Rc::default();
         host.run(async |front| {
             for round in 0..ROUNDS {
@@ -409,7 +417,7 @@
                     front.leave(id).await;
                 }
                 if round % 40 == 20 {
-                    front.messages.send(Message::End).await.expect("the node runs");
+                    front.messages.send(Message::Shutdown).await.expect("the node runs");
                 }
                 sleep(ROUND).await;
             }
@@ -421,17 +429,17 @@
             assert!(endings.get(ending).is_some_and(|count| *count > 100), "{ending}: {endings:?}");
         }
         assert_eq!(endings.get("never answered"), None);
-        let after = (host.usage(), host.node.balancer.table_sizes(), host.node.backends.pool.usage());
+        let after = (host.usage(), host.node.balancer.table_sizes(), host.node.upstream.pool.usage());
         assert_eq!(after, before);
     });
 }
 
-async fn count(answer: oneshot::Receiver<Answer>, endings: Rc<RefCell<BTreeMap<&'static str, usize>>>) {
+async fn count(answer: oneshot::Receiver<FinalAnswer>, endings: Rc<RefCell<BTreeMap<&'static str, usize>>>) {
     let ending = match answer.await {
-        Ok(Answer::Served(_)) => "served",
-        Ok(Answer::Refused(_)) => "refused",
-        Ok(Answer::Failed) => "failed",
-        Ok(Answer::TimedOut) => "timed out",
+        Ok(FinalAnswer::Served(_)) => "served",
+        Ok(FinalAnswer::Shed(_)) => "refused",
+        Ok(FinalAnswer::Failed) => "failed",
+        Ok(FinalAnswer::TimedOut) => "timed out",
         Err(_) => "never answered",
     };
     *endings.borrow_mut().entry(ending).or_default() += 1;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/downstream/mod.rs
@@ -1,12 +1,11 @@
 //! The clients' side: keeps their connections, takes requests, and writes the final answers that the node gives.
 
-use crate::Clock;
-use crate::backend::BODY_LIMIT;
+use crate::clock::Clock;
 use crate::config::Config;
-use crate::log::{log, log_peer};
-use crate::memory::Budget;
-use crate::node::{Answer, Forward, Message, Taken};
-use crate::request::{self, Bad};
+use crate::limits::{MAX_BODY_BYTES, READ_BUFFER_BYTES};
+use crate::logging::{log, log_peer};
+use crate::memory_budget::Budget;
+use crate::message::{FinalAnswer, ForwardedRequest, IncomingRequest, Message};
 use crate::socket::{Handle, Socket};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -27,6 +26,10 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
+mod request_parser;
+
+use request_parser::Bad;
+
 /// After SIGTERM new connections go on coming for up to 0.4 s: so long they are accepted, and a little more.
 const ACCEPT_ON: Duration = Duration::from_millis(450);
 /// Then what was accepted last has so long to send its request before idle connections are closed.
@@ -41,9 +44,7 @@
 /// How often connections are looked over for these times.
 const WATCH: Duration = Duration::from_millis(100);
 /// How much of a body is read on after its request was turned down.
-const READ_PAST: usize = 16 * BODY_LIMIT;
-/// What a connection may buffer: no head is longer. The least that hyper allows.
-pub const READ_BUFFER: usize = 8 * 1024;
+const READ_PAST: usize = 16 * MAX_BODY_BYTES;
 /// After an accept that failed for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -189,7 +190,7 @@
         if timeout(self.longest_deadline, self.all_left()).await.is_err() {
             // Whose request was taken is owed an answer, however long it says that it waits; who is left then has
             // sent half a request at most.
-            let _ = self.messages.send(Message::End).await; // or the node has ended
+            let _ = self.messages.send(Message::Shutdown).await; // or the node has ended
             if timeout(LAST_WORDS, self.all_left()).await.is_err() {
                 log("a client would not end its connection");
             }
@@ -268,7 +269,7 @@
             let connection = http1::Builder::new()
                 // Its time-out would run on idle connections too: `Client::look` tells them apart.
                 .header_read_timeout(None)
-                .max_buf_size(READ_BUFFER)
+                .max_buf_size(READ_BUFFER_BYTES)
                 .serve_connection(socket, service);
             let mut connection = std::pin::pin!(connection);
             let polite = async {
@@ -327,19 +328,19 @@
     async fn handle(&self, request: Request<Incoming>, until: Instant) -> Result<Response<Full<Bytes>>, Bad> {
         let (head, body) = request.into_parts();
         let ready_asked = head.uri.path() == "/health/ready";
-        let checked = match request::length(&head, &body) {
+        let checked = match request_parser::length(&head, &body) {
             Ok(_) if ready_asked => {
                 let ready = self.ready.get() && !self.closing.get();
                 let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
                 return Ok(plain(status, Bytes::new()));
             }
-            Ok(length) => request::check(&self.site, head, length),
+            Ok(length) => request_parser::check(&self.site, head, length),
             Err(bad) => Err(bad),
         };
         let request = match checked {
             Ok(request) => request,
             Err(bad) => {
-                spawn_local(request::drain(body, READ_PAST, Instant::now() + LINGER / 2));
+                spawn_local(request_parser::drain(body, READ_PAST, Instant::now() + LINGER / 2));
                 return Err(bad);
             }
         };
@@ -347,7 +348,7 @@
             log_peer("no room for a request's body: refused");
             return Ok(refusal(self.site.settings.limits.max_retry_after));
         };
-        let body = request::read(body, request.length, room, until).await?;
+        let body = request_parser::read(body, request.length, room, until).await?;
         if self.late.get() {
             return Ok(refusal(self.site.settings.limits.max_retry_after));
         }
@@ -365,14 +366,14 @@
             cost_hint: request.cost,
             client_retry: request.client_retry,
         };
-        let forward = Forward {
+        let forward = ForwardedRequest {
             method: request.method,
             path: request.path,
             call_id: request.call_id.clone(),
             idempotency_key: request.idempotency_key,
             body: RefCell::new(Some(body)),
             deadline: at + request.budget,
-            window: request.window,
+            idempotency_window: request.window,
             first_byte: Cell::new(None),
         };
         let (reply, answer) = oneshot::channel();
@@ -381,17 +382,17 @@
             return Ok(plain(StatusCode::BAD_GATEWAY, Bytes::new()));
         };
         let mut gone = Gone { id: new.id, place: Some(place) };
-        let taken = Box::new(Taken { new, at, forward, reply });
+        let taken = Box::new(IncomingRequest { new, received: at, forward, reply });
         if self.messages.send(Message::Request(taken)).await.is_err() {
             return Ok(plain(StatusCode::BAD_GATEWAY, Bytes::new()));
         }
-        let answer = answer.await.unwrap_or(Answer::Failed);
+        let answer = answer.await.unwrap_or(FinalAnswer::Failed);
         gone.place = None;
         Ok(match answer {
-            Answer::Served(body) => plain(StatusCode::OK, body),
-            Answer::Refused(after) => refusal(after),
-            Answer::Failed => plain(StatusCode::BAD_GATEWAY, Bytes::new()),
-            Answer::TimedOut => plain(StatusCode::GATEWAY_TIMEOUT, Bytes::new()),
+            FinalAnswer::Served(body) => plain(StatusCode::OK, body),
+            FinalAnswer::Shed(after) => refusal(after),
+            FinalAnswer::Failed => plain(StatusCode::BAD_GATEWAY, Bytes::new()),
+            FinalAnswer::TimedOut => plain(StatusCode::GATEWAY_TIMEOUT, Bytes::new()),
         })
     }
 }
@@ -423,7 +424,7 @@
 impl Drop for Gone {
     fn drop(&mut self) {
         if let Some(place) = self.place.take() {
-            place.send(Message::ClientGone(self.id));
+            place.send(Message::ClientDisconnected(self.id));
         }
     }
 }
--- a/crates/node/src/request.rs
+++ b/crates/node/src/downstream/request_parser.rs
@@ -1,7 +1,7 @@
 //! What a client's request must be to be taken: the checks of its head, and the reading of its body.
 
-use crate::backend::BODY_LIMIT;
-use crate::memory::Lease;
+use crate::limits::MAX_BODY_BYTES;
+use crate::memory_budget::Lease;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -49,7 +49,7 @@
         return Err((StatusCode::LENGTH_REQUIRED, "no Transfer-Encoding, please"));
     }
     let length = body.size_hint().exact().ok_or((BAD, "no length"))?;
-    let length = usize::try_from(length).ok().filter(|length| *length <= BODY_LIMIT);
+    let length = usize::try_from(length).ok().filter(|length| *length <= MAX_BODY_BYTES);
     length.ok_or((StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB"))
 }
 
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,57 +1,33 @@
 //! One real node: clients on one side, backends and discovery on the other, the decision module between.
 //! This file reads the configuration, starts the parts and sees to signals.
 
-mod backend;
+mod clock;
 mod config;
 mod discovery;
-mod front;
-mod in_flight;
-mod lists;
-mod log;
-mod memory;
-mod node;
-mod pool;
-mod request;
+mod dispatcher;
+mod downstream;
+mod limits;
+mod logging;
+mod memory_budget;
+mod message;
+mod request_table;
 mod socket;
+mod upstream;
 
+use clock::Clock;
 use config::Config;
-use log::log;
+use logging::log;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
-use tokio::time::Instant;
 
 /// Messages to the node that may wait. Each client connection keeps one place for its leaving.
 const MESSAGES: usize = 4096;
 
-/// The one clock: Unix time as it was at the start, carried on by the monotonic clock, so that a backend's
-/// `since_ms` and the times of events are on one scale that never runs backwards.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    started: Instant,
-    unix: Duration,
-}
-
-impl Clock {
-    fn start() -> Self {
-        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-        Clock { started: Instant::now(), unix }
-    }
-
-    pub fn now(self) -> Duration {
-        self.unix + self.started.elapsed()
-    }
-
-    pub fn instant(self, at: Duration) -> Instant {
-        self.started + at.saturating_sub(self.unix)
-    }
-}
-
 fn main() -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"));
@@ -59,7 +35,7 @@
     if let Err(what) = &ended {
         log(what);
     }
-    log::flush();
+    logging::flush();
     if ended.is_ok() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
@@ -76,13 +52,13 @@
     let (messages, mut inbox) = mpsc::channel(MESSAGES);
     let (orders, discovery_orders) = mpsc::channel(16);
     let (moves, moved) = watch::channel(config.discovery);
-    let budget = memory::Budget::new(config.body_bytes);
-    let pool = pool::Pool::start(clock, &config, pool::REST);
-    let backends = backend::Backends::new(clock, &config, budget.clone(), pool);
+    let budget = memory_budget::Budget::new(config.body_bytes);
+    let pool = upstream::pool::Pool::start(clock, &config, upstream::pool::REST);
+    let upstream = upstream::attempt::Upstream::new(clock, &config, budget.clone(), pool);
     let discovery = discovery::Discovery::new(&config, messages.clone());
     let ready = discovery.ready();
-    let mut node = node::Node::new(clock, &config, backends, messages.clone(), orders);
-    let front = front::Front::new(clock, &config, budget, messages, ready);
+    let mut node = dispatcher::Dispatcher::new(clock, &config, upstream, messages.clone(), orders);
+    let front = downstream::Front::new(clock, &config, budget, messages, ready);
     let mut node = tokio::task::spawn_local(async move { node.run(&mut inbox).await });
     let mut discovery = tokio::task::spawn_local(discovery.run(discovery_orders, moved));
     tokio::task::spawn_local(reload(hang_up, config.clone(), moves));
--- a/crates/node/src/in_flight.rs
+++ b/crates/node/src/request_table.rs
@@ -3,7 +3,7 @@
 //! The table is the only place that knows when a request is finished: as soon as it has its final answer and no
 //! attempt out, it leaves together with its timers, whichever event came last. No caller has to remember that.
 
-use crate::node::{Answer, Forward, Stop};
+use crate::message::{FinalAnswer, ForwardedRequest, StopReason};
 use ottertiller_balancer::{EndpointId, RequestId};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -12,9 +12,9 @@
 
 /// A request and its attempts.
 struct InFlight {
-    forward: Rc<Forward>,
+    forward: Rc<ForwardedRequest>,
     /// The way to the client, until the final answer has gone there or the client has left.
-    reply: Option<oneshot::Sender<Answer>>,
+    reply: Option<oneshot::Sender<FinalAnswer>>,
     /// In the order of their start; an attempt's number is its place.
     attempts: Vec<Attempt>,
     /// Its pending timers. They go with it: a client may say that it waits for as long as it likes.
@@ -29,7 +29,7 @@
 
 enum AttemptState {
     /// Under way, and not told to stop yet.
-    Running(oneshot::Sender<Stop>),
+    Running(oneshot::Sender<StopReason>),
     /// Told to stop; its outcome is still to come.
     Stopping,
     Ended,
@@ -56,7 +56,7 @@
 /// Whether another attempt of a request may begin.
 pub enum NewAttempt {
     /// It may, under this number.
-    Permitted { number: u32, forward: Rc<Forward> },
+    Permitted { number: u32, forward: Rc<ForwardedRequest> },
     /// It may not, and counts as an attempt that has ended unsent.
     Refused { number: u32, answered: bool },
 }
@@ -103,7 +103,7 @@
 
 impl RequestTable {
     /// Takes in a request that is owed an answer.
-    pub fn insert(&mut self, id: RequestId, forward: Forward, reply: oneshot::Sender<Answer>) {
+    pub fn insert(&mut self, id: RequestId, forward: ForwardedRequest, reply: oneshot::Sender<FinalAnswer>) {
         let request = InFlight {
             forward: Rc::new(forward),
             reply: Some(reply),
@@ -114,7 +114,7 @@
     }
 
     /// Gives the final answer. The one place where it leaves; false if none was owed any more.
-    pub fn answer(&mut self, id: RequestId, answer: Answer) -> bool {
+    pub fn answer(&mut self, id: RequestId, answer: FinalAnswer) -> bool {
         let Some(reply) = self.take_reply(id) else { return false };
         // An error means that the client has just left: then no answer is owed.
         let _ = reply.send(answer);
@@ -126,7 +126,7 @@
         self.take_reply(id).is_some()
     }
 
-    fn take_reply(&mut self, id: RequestId) -> Option<oneshot::Sender<Answer>> {
+    fn take_reply(&mut self, id: RequestId) -> Option<oneshot::Sender<FinalAnswer>> {
         let request = self.requests.get_mut(&id)?;
         let reply = request.reply.take()?;
         request.forward.close();
@@ -158,7 +158,7 @@
         id: RequestId,
         endpoint: EndpointId,
         now: Duration,
-        stop: oneshot::Sender<Stop>,
+        stop: oneshot::Sender<StopReason>,
     ) {
         if let Some(request) = self.requests.get_mut(&id) {
             request.attempts.push(Attempt { endpoint, sent: now, state: AttemptState::Running(stop) });
@@ -180,7 +180,7 @@
     }
 
     /// Stops an attempt that is under way. Its outcome is still to come.
-    pub fn stop_attempt(&mut self, id: RequestId, number: u32, why: Stop) {
+    pub fn stop_attempt(&mut self, id: RequestId, number: u32, why: StopReason) {
         let request = self.requests.get_mut(&id);
         let Some(attempt) = request.and_then(|request| request.attempts.get_mut(number as usize)) else {
             return;
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -1,11 +1,12 @@
 //! The backends' side: attempts, what their answers tell, and probes.
 
-use crate::Clock;
+use crate::clock::Clock;
 use crate::config::Config;
-use crate::log::log_peer;
-use crate::memory::Budget;
-use crate::node::{Forward, Stop};
-use crate::pool::{Connection, Pool};
+use crate::limits::MAX_BODY_BYTES;
+use crate::logging::log_peer;
+use crate::memory_budget::Budget;
+use crate::message::{AttemptResult, ForwardedRequest, StopReason};
+use crate::upstream::pool::{Connection, Pool};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -21,8 +22,6 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-/// The most bytes of a body, either way.
-pub const BODY_LIMIT: usize = 64 * 1024;
 /// A probe that is not answered by then tells nothing that is still true.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// So many connections in a row may turn out broken before a request was written to them.
@@ -35,30 +34,13 @@
     pub endpoint: EndpointId,
     /// When the node stops waiting for it.
     pub until: Duration,
-    pub forward: Rc<Forward>,
-}
-
-/// How an attempt ended; with the body if it was served.
-pub struct Ended {
-    pub id: RequestId,
-    pub number: u32,
-    pub outcome: Outcome,
-    pub report: Option<LoadReport>,
-    pub body: Option<Bytes>,
-}
-
-/// How a probe ended.
-pub struct ProbeEnded {
-    pub endpoint: EndpointId,
-    pub outcome: Outcome,
-    pub sent: Duration,
-    pub report: Option<LoadReport>,
+    pub forward: Rc<ForwardedRequest>,
 }
 
 /// How an exchange ended, the report that came along, and the body.
 type End = (Outcome, Option<LoadReport>, Option<Bytes>);
 
-pub struct Backends {
+pub struct Upstream {
     clock: Clock,
     pub pool: Rc<Pool>,
     /// Room for bodies, requests' and answers'.
@@ -67,14 +49,18 @@
     reports: LoadReportSource,
 }
 
-impl Backends {
+impl Upstream {
     pub fn new(clock: Clock, config: &Config, budget: Budget, pool: Rc<Pool>) -> Rc<Self> {
         let (columns, reports) = (config.site.columns.clone(), config.site.settings.load_reports);
-        Rc::new(Backends { clock, pool, budget, columns, reports })
+        Rc::new(Upstream { clock, pool, budget, columns, reports })
     }
 
     /// Makes an attempt, until it ends or is stopped.
-    pub async fn attempt(self: Rc<Self>, attempt: Attempt, stopped: oneshot::Receiver<Stop>) -> Ended {
+    pub async fn attempt(
+        self: Rc<Self>,
+        attempt: Attempt,
+        stopped: oneshot::Receiver<StopReason>,
+    ) -> AttemptResult {
         let written = Cell::new(false);
         let (outcome, report, body) = tokio::select! {
             biased;
@@ -82,11 +68,11 @@
             // The exchange is dropped, and its connection closes.
             stop = stopped => (match stop {
                 _ if !written.get() => Outcome::NotSent,
-                Ok(Stop::TimedOut) => Outcome::TimedOut,
-                Ok(Stop::Cancelled) | Err(_) => Outcome::Cancelled,
+                Ok(StopReason::TimedOut) => Outcome::TimedOut,
+                Ok(StopReason::Cancelled) | Err(_) => Outcome::Cancelled,
             }, None, None),
         };
-        Ended { id: attempt.id, number: attempt.number, outcome, report, body }
+        AttemptResult { id: attempt.id, number: attempt.number, outcome, report, body }
     }
 
     async fn exchange(self: &Rc<Self>, attempt: &Attempt, written: &Cell<bool>) -> End {
@@ -125,8 +111,10 @@
     fn request(&self, attempt: &Attempt, connection: &Connection) -> Option<Request<Full<Bytes>>> {
         let (now, forward) = (self.clock.now(), &attempt.forward);
         let address = self.pool.destination(connection)?;
-        let forgotten =
-            forward.window.zip(forward.first_byte.get()).is_some_and(|(w, first)| now >= first + w);
+        let forgotten = forward
+            .idempotency_window
+            .zip(forward.first_byte.get())
+            .is_some_and(|(w, first)| now >= first + w);
         if now >= attempt.until || forgotten {
             return None;
         }
@@ -161,8 +149,8 @@
         let length = body.size_hint().exact();
         // Without either, its end is the connection's, and half an answer looks like a whole one.
         let framed = length.is_some() || head.headers.contains_key(TRANSFER_ENCODING);
-        let length = length.map_or(BODY_LIMIT, |length| usize::try_from(length).unwrap_or(usize::MAX));
-        if !framed || length > BODY_LIMIT {
+        let length = length.map_or(MAX_BODY_BYTES, |length| usize::try_from(length).unwrap_or(usize::MAX));
+        if !framed || length > MAX_BODY_BYTES {
             log_peer(format_args!(
                 "server {:x}: an answer of no length, or too long, was dropped",
                 endpoint.0
@@ -173,7 +161,7 @@
             log_peer("no room for an answer's body: dropped");
             return ((Outcome::Error, report, None), None);
         };
-        let body = match Limited::new(body, BODY_LIMIT).collect().await {
+        let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
             Ok(body) => room.keep(body.to_bytes()),
             Err(e) => return ((e.downcast_ref().map_or(Outcome::Error, broken), None, None), None),
         };
@@ -259,8 +247,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::discovery::Backend;
-    use crate::pool::tests::{CONFIG, SERVER, with_pool};
+    use crate::message::ListedEndpoint;
+    use crate::upstream::pool::tests::{CONFIG, SERVER, with_pool};
     use ottertiller_balancer::{EndpointState, ListKind};
     use std::cell::RefCell;
     use tokio::io::AsyncReadExt;
@@ -270,17 +258,17 @@
 
     /// Makes an attempt that something has overtaken since it was decided on; returns how it ended and what
     /// its backend was sent.
-    fn overtaken(by: impl FnOnce(&Pool, &mut Attempt, Backend, Duration)) -> (Outcome, String) {
+    fn overtaken(by: impl FnOnce(&Pool, &mut Attempt, ListedEndpoint, Duration)) -> (Outcome, String) {
         with_pool(async |pool, listener, backend| {
             let now = pool.clock.now();
-            let forward = Forward {
+            let forward = ForwardedRequest {
                 method: Method::POST,
                 path: hyper::http::uri::PathAndQuery::from_static("/submit/1"),
                 call_id: HeaderValue::from_static("1"),
                 idempotency_key: None,
                 body: RefCell::new(Some(Bytes::new())),
                 deadline: now + MINUTE,
-                window: Some(MINUTE),
+                idempotency_window: Some(MINUTE),
                 first_byte: Cell::new(None),
             };
             let (until, forward) = (now + MINUTE, Rc::new(forward));
@@ -294,7 +282,7 @@
                 String::from_utf8_lossy(&sent[..read]).into_owned()
             });
             let config = Config::parse(CONFIG).expect("good");
-            let backends = Backends::new(Clock::start(), &config, Budget::new(1 << 20), pool.clone());
+            let backends = Upstream::new(Clock::start(), &config, Budget::new(1 << 20), pool.clone());
             let ended = backends.attempt(attempt, stopped).await;
             pool.close_idle(SERVER);
             (ended.outcome, served.await.expect("the backend's part"))
--- /dev/null
+++ b/crates/node/src/upstream/mod.rs
@@ -0,0 +1,4 @@
+//! The upstream side: connections to endpoints, attempts of requests and health checks.
+
+pub mod attempt;
+pub mod pool;
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -1,9 +1,10 @@
 //! The pool of connections to backends: who may be sent to, where they listen, what is open and idle.
 
-use crate::Clock;
+use crate::clock::Clock;
 use crate::config::Config;
-use crate::discovery::Backend;
-use crate::log::log_peer;
+use crate::limits::READ_BUFFER_BYTES;
+use crate::logging::log_peer;
+use crate::message::ListedEndpoint;
 use crate::socket::{Handle, Socket};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -19,8 +20,6 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 
-/// No head of an answer is longer; it also bounds what a connection may buffer. The least that hyper allows.
-const READ_BUFFER: usize = 8 * 1024;
 /// A second copy of an answer may come some milliseconds behind the first. On a connection that carries a request
 /// again by then, it would be taken for that one's answer: so long a connection rests after an answer. Copies have
 /// been seen up to 4 ms late; a longer rest costs handshakes.
@@ -140,7 +139,7 @@
     }
 
     /// Takes in news of the list: where backends listen, and which are ready.
-    pub fn update(&self, kind: ListKind, backends: &[Backend]) {
+    pub fn update(&self, kind: ListKind, backends: &[ListedEndpoint]) {
         let mut places = self.places.borrow_mut();
         if matches!(kind, ListKind::Snapshot | ListKind::Cached) {
             let listed: std::collections::BTreeSet<_> = backends.iter().map(|b| b.entry.id).collect();
@@ -149,7 +148,7 @@
                 place.retire(self.next_epoch());
             }
         }
-        for Backend { entry, address } in backends {
+        for ListedEndpoint { entry, address } in backends {
             let place = places.entry(entry.id).or_default();
             let moved = place.address != Some(*address) || place.started != entry.started;
             (place.address, place.started, place.state) = (Some(*address), entry.started, entry.state);
@@ -225,7 +224,7 @@
         let opened = match connected {
             Ok(Ok(stream)) => {
                 let (socket, handle) = Socket::new(stream);
-                let opened = http1::Builder::new().max_buf_size(READ_BUFFER).handshake(socket).await;
+                let opened = http1::Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(socket).await;
                 opened.map(|opened| (opened, handle)).map_err(|_| Outcome::ConnectFailed)
             }
             // This node's own want of descriptors or ports says nothing of the backend.
@@ -365,17 +364,17 @@
     pub const SERVER: EndpointId = EndpointId(1);
 
     /// A pool that knows one backend, which listens.
-    pub fn with_pool<T>(test: impl AsyncFnOnce(Rc<Pool>, TcpListener, Backend) -> T) -> T {
+    pub fn with_pool<T>(test: impl AsyncFnOnce(Rc<Pool>, TcpListener, ListedEndpoint) -> T) -> T {
         with_rest(REST, test)
     }
 
-    fn with_rest<T>(rest: Duration, test: impl AsyncFnOnce(Rc<Pool>, TcpListener, Backend) -> T) -> T {
+    fn with_rest<T>(rest: Duration, test: impl AsyncFnOnce(Rc<Pool>, TcpListener, ListedEndpoint) -> T) -> T {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
         LocalSet::new().block_on(&runtime, async {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let pool = Pool::start(Clock::start(), &Config::parse(CONFIG).expect("good"), rest);
             let entry = EndpointEntry { id: SERVER, state: EndpointState::Ready, ..EndpointEntry::default() };
-            let backend = Backend { entry, address: listener.local_addr().expect("its address") };
+            let backend = ListedEndpoint { entry, address: listener.local_addr().expect("its address") };
             pool.update(ListKind::Snapshot, std::slice::from_ref(&backend));
             test(pool, listener, backend).await
         })
@@ -472,9 +471,9 @@
     /// been started again, at its old address or elsewhere.
     #[test]
     fn who_waits_for_a_dial_to_what_a_backend_no_longer_is_learns_so_at_once() {
-        let drains = |backend: &mut Backend| backend.entry.state = EndpointState::Draining;
-        let restarts = |backend: &mut Backend| backend.entry.started = Some(Duration::from_secs(1));
-        for (case, change) in [&drains as &dyn Fn(&mut Backend), &restarts].into_iter().enumerate() {
+        let drains = |backend: &mut ListedEndpoint| backend.entry.state = EndpointState::Draining;
+        let restarts = |backend: &mut ListedEndpoint| backend.entry.started = Some(Duration::from_secs(1));
+        for (case, change) in [&drains as &dyn Fn(&mut ListedEndpoint), &restarts].into_iter().enumerate() {
             with_pool(async |pool, listener, mut backend| {
                 let _crowd = fill(&listener).await;
                 let mut waiting = std::pin::pin!(pool.take(SERVER));
