Split the connection pool by concern, with options of its own

The pool's one file held the registry of endpoints, dials, waiting attempts, idle connections and the cool-down after a response. Each is a module of its own now. The pool takes its options in place of the whole configuration. The count of open connections is kept by permits that return themselves when dropped; dial errors are a typed enum; error numbers come from rustix. Behaviour is as before.

--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -6,7 +6,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::memory_budget::Budget;
 use crate::upstream::attempt::Upstream;
-use crate::upstream::pool::{Pool, REST};
+use crate::upstream::pool::Pool;
 use std::cell::RefCell;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpSocket;
@@ -95,7 +95,7 @@
         let (messages, mut inbox) = mpsc::channel(64);
         let (orders, discovery_orders) = mpsc::channel(16);
         let (_moves, moved) = watch::channel(config.discovery);
-        let pool = Pool::start(clock, &config, REST);
+        let pool = Pool::start(clock, crate::pool_options(&config));
         let backends = Upstream::new(clock, &config, Budget::new(1 << 20), pool);
         let mut node = Dispatcher::new(clock, &config, backends, messages.clone(), orders);
         let node = spawn_local(async move { node.run(&mut inbox).await });
--- a/crates/node/src/dispatcher_tests.rs
+++ b/crates/node/src/dispatcher_tests.rs
@@ -5,7 +5,7 @@
 use crate::memory_budget::Budget;
 use crate::message::{EndpointListUpdate, ForwardedRequest, ListedEndpoint};
 use crate::request_table::Usage;
-use crate::upstream::pool::{Pool, REST};
+use crate::upstream::pool::Pool;
 use bytes::Bytes;
 use hyper::Method;
 use hyper::header::HeaderValue;
@@ -68,7 +68,7 @@
         let (messages, inbox) = mpsc::channel(4096);
         let (orders, _) = mpsc::channel(16);
         let budget = Budget::new(BUDGET);
-        let pool = Pool::start(clock, config, REST);
+        let pool = Pool::start(clock, crate::pool_options(config));
         let upstream = Upstream::new(clock, config, budget.clone(), pool);
         let node = Dispatcher::new(clock, config, upstream, messages.clone(), orders);
         Host { node, inbox, front: Front { clock, messages, budget, requests: Cell::new(0) } }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -53,7 +53,7 @@
     let (orders, discovery_orders) = mpsc::channel(16);
     let (moves, moved) = watch::channel(config.discovery);
     let budget = memory_budget::Budget::new(config.body_bytes);
-    let pool = upstream::pool::Pool::start(clock, &config, upstream::pool::REST);
+    let pool = upstream::pool::Pool::start(clock, pool_options(&config));
     let upstream = upstream::attempt::Upstream::new(clock, &config, budget.clone(), pool);
     let discovery = discovery::Discovery::new(&config, messages.clone());
     let ready = discovery.ready();
@@ -78,6 +78,16 @@
     }
 }
 
+/// What the connection pool is to know of the configuration.
+fn pool_options(config: &Config) -> upstream::pool::Options {
+    upstream::pool::Options {
+        max_connections: config.backend_connections,
+        connect_timeout: config.site.settings.limits.connect_timeout,
+        endpoint_idle_timeout: config.site.idle_close,
+        response_cooldown: upstream::pool::RESPONSE_COOLDOWN,
+    }
+}
+
 /// Reads the configuration again at each SIGHUP. Discovery's address is all that can change in a node that
 /// runs; a file that can't be used changes nothing.
 async fn reload(mut hang_up: Signal, started: Rc<Config>, moves: watch::Sender<SocketAddr>) {
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -77,7 +77,7 @@
 
     async fn exchange(self: &Rc<Self>, attempt: &Attempt, written: &Cell<bool>) -> End {
         for _ in 0..BROKEN_IN_A_ROW {
-            let mut connection = match self.pool.take(attempt.endpoint).await {
+            let mut connection = match self.pool.checkout(attempt.endpoint).await {
                 Ok(connection) => connection,
                 Err(outcome) => return (outcome, None, None),
             };
@@ -86,14 +86,14 @@
             }
             // Time has passed since the decision: what was permitted then may not be any more.
             let Some(request) = self.request(attempt, &connection) else {
-                self.pool.offer(connection);
+                self.pool.release(connection);
                 return (Outcome::NotSent, None, None);
             };
             written.set(true);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let (ended, whole) = self.answered(attempt.endpoint, connection, response).await;
-                    whole.into_iter().for_each(|connection| self.pool.put(connection));
+                    whole.into_iter().for_each(|connection| self.pool.release_after_response(connection));
                     return ended;
                 }
                 // Given back: not a byte of it was written, so another connection may have it.
@@ -183,7 +183,7 @@
     }
 
     async fn probed(self: &Rc<Self>, endpoint: EndpointId) -> (Outcome, Option<LoadReport>) {
-        let mut connection = match self.pool.take(endpoint).await {
+        let mut connection = match self.pool.checkout(endpoint).await {
             Ok(connection) => connection,
             Err(outcome) => return (outcome, None),
         };
@@ -199,7 +199,7 @@
         };
         let ((outcome, in_head, body), whole) = self.answered(endpoint, connection, response).await;
         // What a probe has found idle is mostly sent to at once, over this connection.
-        whole.into_iter().for_each(|connection| self.pool.offer(connection));
+        whole.into_iter().for_each(|connection| self.pool.release(connection));
         let in_body = || {
             let body = body.filter(|_| reports)?;
             self.report(std::str::from_utf8(&body).ok()?)
--- a/crates/node/src/upstream/attempt_tests.rs
+++ b/crates/node/src/upstream/attempt_tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::message::ListedEndpoint;
-use crate::upstream::pool::tests::{CONFIG, SERVER, with_pool};
+use crate::upstream::pool::tests::{ENDPOINT, with_pool};
 use ottertiller_balancer::{EndpointState, ListKind};
 use std::cell::RefCell;
 use tokio::io::AsyncReadExt;
@@ -12,7 +12,8 @@
 /// its backend was sent.
 fn overtaken(by: impl FnOnce(&Pool, &mut Attempt, ListedEndpoint, Duration)) -> (Outcome, String) {
     with_pool(async |pool, listener, backend| {
-        let now = pool.clock.now();
+        let clock = Clock::start();
+        let now = clock.now();
         let forward = ForwardedRequest {
             method: Method::POST,
             path: hyper::http::uri::PathAndQuery::from_static("/submit/1"),
@@ -24,7 +25,7 @@
             first_byte: Cell::new(None),
         };
         let (until, forward) = (now + MINUTE, Rc::new(forward));
-        let mut attempt = Attempt { id: RequestId(1), number: 0, endpoint: SERVER, until, forward };
+        let mut attempt = Attempt { id: RequestId(1), number: 0, endpoint: ENDPOINT, until, forward };
         by(&pool, &mut attempt, backend, now);
         let (_stop, stopped) = oneshot::channel();
         let served = spawn_local(async move {
@@ -33,10 +34,12 @@
             let read = stream.read(&mut sent).await.unwrap_or_default();
             String::from_utf8_lossy(&sent[..read]).into_owned()
         });
-        let config = Config::parse(CONFIG).expect("good");
-        let backends = Upstream::new(Clock::start(), &config, Budget::new(1 << 20), pool.clone());
+        let text = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+            "settings": {"Classes": [{"Name": "read", "Target": 1, "GiveUp": 1, "Idempotency": "free"}]}}"#;
+        let config = Config::parse(text).expect("good");
+        let backends = Upstream::new(clock, &config, Budget::new(1 << 20), pool.clone());
         let ended = backends.attempt(attempt, stopped).await;
-        pool.close_idle(SERVER);
+        pool.close_idle(ENDPOINT);
         (ended.outcome, served.await.expect("the backend's part"))
     })
 }
--- /dev/null
+++ b/crates/node/src/upstream/pool/dial.rs
@@ -0,0 +1,118 @@
+//! Dialling: opening a connection to an endpoint.
+
+use crate::limits::READ_BUFFER_BYTES;
+use crate::logging::log_peer;
+use crate::socket::Socket;
+use crate::upstream::pool::connection::{Connection, ConnectionPermit, Epoch};
+use crate::upstream::pool::{CheckoutResult, Pool};
+use hyper::client::conn::http1;
+use ottertiller_balancer::{EndpointId, Outcome};
+use rustix::io::Errno;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// A connection to be opened.
+pub struct Dial {
+    pub endpoint: EndpointId,
+    pub epoch: Epoch,
+    pub address: SocketAddr,
+    pub permit: ConnectionPermit,
+}
+
+/// Why a dial failed.
+#[derive(Debug, thiserror::Error)]
+enum DialError {
+    /// This node is out of descriptors or ports, which says nothing about the endpoint.
+    #[error("cannot dial: {0}")]
+    LocalResources(io::Error),
+    #[error("cannot connect: {0}")]
+    Connect(io::Error),
+    #[error("not connected in time")]
+    TimedOut,
+    #[error("the handshake failed: {0}")]
+    Handshake(hyper::Error),
+}
+
+impl DialError {
+    fn from_connect(error: io::Error) -> Self {
+        match Errno::from_io_error(&error) {
+            Some(Errno::MFILE | Errno::NFILE | Errno::ADDRNOTAVAIL) => DialError::LocalResources(error),
+            _ => DialError::Connect(error),
+        }
+    }
+
+    fn outcome(&self) -> Outcome {
+        match self {
+            DialError::LocalResources(_) => Outcome::NotSent,
+            DialError::Connect(_) | DialError::TimedOut | DialError::Handshake(_) => Outcome::ConnectFailed,
+        }
+    }
+}
+
+impl Pool {
+    /// Opens a connection in the background, for whoever waits longest when it is open.
+    pub(super) fn spawn_dial(self: &Rc<Self>, dial: Dial) {
+        let pool = self.clone();
+        spawn_local(async move {
+            let endpoint = dial.endpoint;
+            let epoch = dial.epoch;
+            let result = pool.dial(dial).await;
+            pool.dial_ended(endpoint, epoch, result);
+        });
+    }
+
+    async fn dial(&self, dial: Dial) -> CheckoutResult {
+        connect(dial, self.options.connect_timeout).await.map_err(|error| {
+            if let DialError::LocalResources(_) = error {
+                log_peer(&error);
+                self.registry.borrow_mut().close_longest_idle();
+            }
+            error.outcome()
+        })
+    }
+
+    fn dial_ended(&self, endpoint: EndpointId, epoch: Epoch, result: CheckoutResult) {
+        match self.registry.borrow_mut().in_epoch_mut(endpoint, epoch) {
+            Some(slot) => slot.dials_in_flight -= 1,
+            // The endpoint has moved, restarted, drained or gone since, and those that waited for it were told.
+            None => return,
+        }
+        let failure = match result {
+            Ok(connection) => {
+                self.release(connection);
+                Outcome::NotSent // should it have broken at once
+            }
+            Err(outcome) => outcome,
+        };
+        if let Some(slot) = self.registry.borrow_mut().get_mut(endpoint) {
+            // More wait than there are dials: the longest waiting learns that its dial has failed.
+            slot.waiters.remove_cancelled();
+            slot.waiters.fail_down_to(slot.dials_in_flight, failure);
+        }
+    }
+}
+
+async fn connect(dial: Dial, connect_timeout: Duration) -> Result<Connection, DialError> {
+    let connected = timeout(connect_timeout, TcpStream::connect(dial.address)).await;
+    let stream = connected.map_err(|_| DialError::TimedOut)?.map_err(DialError::from_connect)?;
+    let (socket, handle) = Socket::new(stream);
+    let handshake = http1::Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(socket).await;
+    let (sender, driver) = handshake.map_err(DialError::Handshake)?;
+    let task = spawn_local(async move {
+        let _ = driver.await; // an error shows in the exchange on it
+    });
+    Ok(Connection {
+        endpoint: dial.endpoint,
+        epoch: dial.epoch,
+        cooling_until: Duration::ZERO,
+        sender,
+        socket: handle,
+        task: task.abort_handle(),
+        _permit: dial.permit,
+    })
+}
--- /dev/null
+++ b/crates/node/src/upstream/pool/mod.rs
@@ -0,0 +1,151 @@
+//! The pool of connections to endpoints: which endpoints may be sent to and where they listen, the connections that
+//! are open to them, and the attempts that wait for one.
+
+mod checkout;
+mod connection;
+mod dial;
+mod idle;
+mod registry;
+mod waiters;
+
+pub use checkout::CheckoutResult;
+pub use connection::Connection;
+
+use crate::clock::Clock;
+use crate::message::ListedEndpoint;
+use connection::ConnectionLimit;
+use ottertiller_balancer::{EndpointId, ListKind};
+use registry::EndpointRegistry;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// A second copy of a response may arrive some milliseconds behind the first. On a connection that carries another
+/// request by then, it would be taken for the response to that: connections cool down for so long after a response.
+/// Copies have been seen up to 4 ms late; a longer cool-down costs handshakes.
+pub const RESPONSE_COOLDOWN: Duration = Duration::from_millis(6);
+/// The shortest time between two sweeps for connections that have been idle for too long.
+const MIN_SWEEP_INTERVAL: Duration = Duration::from_millis(5);
+/// Sweeps within one idle timeout.
+const SWEEPS_PER_IDLE_TIMEOUT: u32 = 8;
+
+/// The options of the pool.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The most connections that may be open at once, dials under way included.
+    pub max_connections: usize,
+    /// How long a dial may take.
+    pub connect_timeout: Duration,
+    /// Endpoints close connections that have been idle for so long.
+    pub endpoint_idle_timeout: Duration,
+    /// How long a connection stays unused after a response; [`RESPONSE_COOLDOWN`] but for tests.
+    pub response_cooldown: Duration,
+}
+
+/// The pool, shared by all attempts and health checks.
+pub struct Pool {
+    clock: Clock,
+    options: Options,
+    /// How long a connection may be idle.
+    idle_timeout: Duration,
+    limit: ConnectionLimit,
+    registry: RefCell<EndpointRegistry>,
+}
+
+impl Pool {
+    /// A pool that knows no endpoint yet, and its task that closes idle connections.
+    pub fn start(clock: Clock, options: Options) -> Rc<Self> {
+        let pool = Rc::new(Pool {
+            clock,
+            // A request written just when the endpoint closes the connection would end as a reset.
+            idle_timeout: options.endpoint_idle_timeout * 3 / 4,
+            limit: ConnectionLimit::new(options.max_connections),
+            registry: RefCell::default(),
+            options,
+        });
+        spawn_local(pool.clone().sweep_idle());
+        pool
+    }
+
+    /// Closes connections that have been idle for too long, before their endpoints do.
+    async fn sweep_idle(self: Rc<Self>) {
+        let interval = (self.idle_timeout / SWEEPS_PER_IDLE_TIMEOUT).max(MIN_SWEEP_INTERVAL);
+        loop {
+            sleep(interval).await;
+            self.registry.borrow_mut().evict_expired(self.clock.now(), self.idle_timeout);
+        }
+    }
+
+    /// Applies a change of the endpoint list, or a complete list: where endpoints listen, and which are ready.
+    pub fn update(&self, kind: ListKind, listed: &[ListedEndpoint]) {
+        self.registry.borrow_mut().apply(kind, listed);
+    }
+
+    /// Closes the idle connections to an endpoint.
+    pub fn close_idle(&self, endpoint: EndpointId) {
+        if let Some(slot) = self.registry.borrow_mut().get_mut(endpoint) {
+            slot.idle.close_all();
+        }
+    }
+
+    /// Takes back a connection that has carried nothing since it was checked out or dialled, or whose last exchange
+    /// needs no cool-down. The longest waiting attempt gets it; if nobody waits, it stays idle for the next.
+    pub fn release(&self, connection: Connection) {
+        let mut registry = self.registry.borrow_mut();
+        let Some(slot) = registry.in_epoch_mut(connection.endpoint, connection.epoch) else { return };
+        if !connection.is_usable() {
+            return;
+        }
+        if let Some(connection) = slot.waiters.deliver(connection) {
+            slot.idle.push(connection, self.clock.now());
+        }
+    }
+
+    /// Takes back a connection that has carried the response to a request. It is available once it has cooled down.
+    pub fn release_after_response(self: &Rc<Self>, mut connection: Connection) {
+        let now = self.clock.now();
+        let endpoint = connection.endpoint;
+        connection.cooling_until = now + self.options.response_cooldown;
+        let mut registry = self.registry.borrow_mut();
+        let Some(slot) = registry.in_epoch_mut(endpoint, connection.epoch) else { return };
+        slot.idle.push(connection, now);
+        if !slot.waiters.is_empty() {
+            spawn_local(self.clone().offer_after_cooldown(endpoint));
+        }
+    }
+
+    /// Gives those who still wait after the cool-down a connection that is available by then.
+    async fn offer_after_cooldown(self: Rc<Self>, endpoint: EndpointId) {
+        sleep(self.options.response_cooldown).await;
+        if let Some(connection) = self.take_for_waiter(endpoint) {
+            self.release(connection);
+        }
+    }
+
+    fn take_for_waiter(&self, endpoint: EndpointId) -> Option<Connection> {
+        let mut registry = self.registry.borrow_mut();
+        let slot = registry.get_mut(endpoint).filter(|slot| !slot.waiters.is_empty())?;
+        slot.idle.take_usable(self.clock.now(), self.idle_timeout)
+    }
+
+    /// Where a connection leads, if a request may still be sent there: the endpoint is ready, and still the one that
+    /// was chosen. The grace of a drain is for requests that have been written by then.
+    pub fn destination(&self, connection: &Connection) -> Option<SocketAddr> {
+        let registry = self.registry.borrow();
+        let slot = registry.in_epoch(connection.endpoint, connection.epoch)?;
+        slot.is_ready().then_some(slot.address)
+    }
+
+    /// The numbers of endpoints, open connections and waiting attempts.
+    #[cfg(test)]
+    pub fn usage(&self) -> (usize, usize, usize) {
+        let (endpoints, waiting) = self.registry.borrow().usage();
+        (endpoints, self.limit.get(), waiting)
+    }
+}
+
+#[cfg(test)]
+pub mod tests;
--- /dev/null
+++ b/crates/node/src/upstream/pool/registry.rs
@@ -0,0 +1,149 @@
+//! The endpoints that the pool knows, as the endpoint list has them, and the connections and waiters of each.
+
+use crate::message::ListedEndpoint;
+use crate::upstream::pool::connection::Epoch;
+use crate::upstream::pool::idle::IdleConnections;
+use crate::upstream::pool::waiters::WaiterQueue;
+use ottertiller_balancer::{EndpointId, EndpointState, ListKind, Outcome};
+use std::collections::{BTreeMap, BTreeSet, btree_map};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What the pool holds for one endpoint.
+pub struct EndpointSlot {
+    pub address: SocketAddr,
+    pub epoch: Epoch,
+    pub idle: IdleConnections,
+    pub waiters: WaiterQueue,
+    /// Dials under way in this epoch: never fewer than waiters.
+    pub dials_in_flight: usize,
+    state: EndpointState,
+    started: Option<Duration>,
+}
+
+impl EndpointSlot {
+    fn new(listed: &ListedEndpoint, epoch: Epoch) -> Self {
+        EndpointSlot {
+            address: listed.address,
+            epoch,
+            idle: IdleConnections::default(),
+            waiters: WaiterQueue::default(),
+            dials_in_flight: 0,
+            state: listed.entry.state,
+            started: listed.entry.started,
+        }
+    }
+
+    /// Whether new requests may be sent to it.
+    pub fn is_ready(&self) -> bool {
+        self.state == EndpointState::Ready
+    }
+
+    /// Takes over an entry of the list. Connections to an earlier run of the endpoint, or to one that takes no new
+    /// requests, are of no more use: `epoch` begins.
+    fn update(&mut self, listed: &ListedEndpoint, epoch: Epoch) {
+        let replaced = self.address != listed.address || self.started != listed.entry.started;
+        self.address = listed.address;
+        self.started = listed.entry.started;
+        self.state = listed.entry.state;
+        if replaced || !self.is_ready() {
+            self.begin_epoch(epoch);
+        }
+    }
+
+    /// Closes what belongs to the epoch before. Waiting attempts are to be decided anew, since what was permitted
+    /// before may not be permitted any more.
+    fn begin_epoch(&mut self, epoch: Epoch) {
+        self.epoch = epoch;
+        self.dials_in_flight = 0;
+        self.idle.close_all();
+        self.waiters.fail_all(Outcome::NotSent);
+    }
+}
+
+/// The endpoints by their numbers.
+#[derive(Default)]
+pub struct EndpointRegistry {
+    slots: BTreeMap<EndpointId, EndpointSlot>,
+    last_epoch: Epoch,
+}
+
+impl EndpointRegistry {
+    /// Applies a change of the endpoint list, or a complete list. Endpoints that are removed are forgotten: nothing
+    /// more is sent to them, and over a day there are ever new ones.
+    pub fn apply(&mut self, kind: ListKind, listed: &[ListedEndpoint]) {
+        if matches!(kind, ListKind::Snapshot | ListKind::Cached) {
+            self.remove_unlisted(listed);
+        }
+        for endpoint in listed {
+            self.apply_entry(endpoint);
+        }
+        self.slots.retain(|_, slot| slot.state != EndpointState::Removed);
+    }
+
+    fn remove_unlisted(&mut self, listed: &[ListedEndpoint]) {
+        let listed_ids: BTreeSet<_> = listed.iter().map(|endpoint| endpoint.entry.id).collect();
+        self.slots.retain(|id, slot| {
+            let keep = listed_ids.contains(id);
+            if !keep {
+                slot.waiters.fail_all(Outcome::NotSent);
+            }
+            keep
+        });
+    }
+
+    fn apply_entry(&mut self, listed: &ListedEndpoint) {
+        let epoch = self.last_epoch.next();
+        self.last_epoch = epoch;
+        match self.slots.entry(listed.entry.id) {
+            btree_map::Entry::Vacant(vacant) => {
+                vacant.insert(EndpointSlot::new(listed, epoch));
+            }
+            btree_map::Entry::Occupied(mut occupied) => occupied.get_mut().update(listed, epoch),
+        }
+    }
+
+    pub fn get_mut(&mut self, id: EndpointId) -> Option<&mut EndpointSlot> {
+        self.slots.get_mut(&id)
+    }
+
+    /// The endpoint, if it still is in that epoch.
+    pub fn in_epoch(&self, id: EndpointId, epoch: Epoch) -> Option<&EndpointSlot> {
+        self.slots.get(&id).filter(|slot| slot.epoch == epoch)
+    }
+
+    /// As [`EndpointRegistry::in_epoch`], to be changed.
+    pub fn in_epoch_mut(&mut self, id: EndpointId, epoch: Epoch) -> Option<&mut EndpointSlot> {
+        self.slots.get_mut(&id).filter(|slot| slot.epoch == epoch)
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub fn evict_expired(&mut self, now: Duration, idle_timeout: Duration) {
+        for slot in self.slots.values_mut() {
+            slot.idle.evict_expired(now, idle_timeout);
+        }
+    }
+
+    /// Closes the connection that has been idle for longest, of all endpoints; false if none is idle.
+    pub fn close_longest_idle(&mut self) -> bool {
+        let candidates =
+            self.slots.values_mut().filter_map(|slot| Some((slot.idle.longest_idle_since()?, slot)));
+        match candidates.min_by_key(|(since, _)| *since) {
+            Some((_, slot)) => slot.idle.close_longest_idle(),
+            None => false,
+        }
+    }
+
+    /// The numbers of endpoints and of waiting attempts.
+    #[cfg(test)]
+    pub fn usage(&self) -> (usize, usize) {
+        let waiting = self.slots.values().map(|slot| slot.waiters.len()).sum();
+        (self.slots.len(), waiting)
+    }
+
+    /// How many connections to the endpoint are idle.
+    #[cfg(test)]
+    pub fn idle_connections(&self, id: EndpointId) -> usize {
+        self.slots.get(&id).map_or(0, |slot| slot.idle.len())
+    }
+}
--- /dev/null
+++ b/crates/node/src/upstream/pool/tests.rs
@@ -0,0 +1,166 @@
+use super::*;
+use ottertiller_balancer::{EndpointEntry, EndpointState, Outcome};
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+use tokio::time::timeout;
+
+pub const ENDPOINT: EndpointId = EndpointId(1);
+
+/// Runs a test with a pool that knows one endpoint, which listens.
+pub fn with_pool<T>(test: impl AsyncFnOnce(Rc<Pool>, TcpListener, ListedEndpoint) -> T) -> T {
+    with_cooldown(RESPONSE_COOLDOWN, test)
+}
+
+fn with_cooldown<T>(
+    response_cooldown: Duration,
+    test: impl AsyncFnOnce(Rc<Pool>, TcpListener, ListedEndpoint) -> T,
+) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let pool = Pool::start(Clock::start(), options(response_cooldown));
+        let entry = EndpointEntry { id: ENDPOINT, state: EndpointState::Ready, ..EndpointEntry::default() };
+        let endpoint = ListedEndpoint { entry, address: listener.local_addr().expect("its address") };
+        pool.update(ListKind::Snapshot, std::slice::from_ref(&endpoint));
+        test(pool, listener, endpoint).await
+    })
+}
+
+fn options(response_cooldown: Duration) -> Options {
+    Options {
+        max_connections: 16,
+        connect_timeout: Duration::from_millis(250),
+        endpoint_idle_timeout: Duration::from_secs(15),
+        response_cooldown,
+    }
+}
+
+/// How many connections to the endpoint are idle in the pool.
+fn idle(pool: &Pool) -> usize {
+    pool.registry.borrow().idle_connections(ENDPOINT)
+}
+
+#[test]
+fn an_attempt_waiting_for_a_dial_takes_a_released_connection_and_the_late_dial_is_kept() {
+    with_pool(async |pool, _listener, _| {
+        let first = pool.checkout(ENDPOINT).await.expect("a connection");
+        let freed = first.task.id();
+        let mut second = std::pin::pin!(pool.checkout(ENDPOINT));
+        tokio::select! {
+            biased;
+            _ = &mut second => panic!("the dial cannot have succeeded yet"),
+            () = std::future::ready(()) => pool.release(first),
+        }
+        let taken = second.await.expect("a connection");
+        assert_eq!(taken.task.id(), freed);
+        while idle(&pool) == 0 {
+            tokio::task::yield_now().await;
+        }
+        let late = pool.checkout(ENDPOINT).await.expect("a connection");
+        assert_ne!(late.task.id(), freed);
+        assert_eq!(pool.limit.get(), 2, "nothing further was dialled");
+    });
+}
+
+/// Neither the runtime nor hyper have had a turn since the bytes came: only the kernel knows of them.
+#[test]
+fn a_connection_is_not_reused_once_bytes_arrived_behind_its_response() {
+    use std::io::Write;
+    with_pool(async |pool, listener, _| {
+        let first = pool.checkout(ENDPOINT).await.expect("a connection");
+        let (stream, _) = listener.accept().await.expect("the dial");
+        let mut endpoint = stream.into_std().expect("its stream");
+        let used = first.task.id();
+        // Hyper has its first turn before, and would see nothing.
+        tokio::task::yield_now().await;
+        pool.release(first);
+        assert_eq!(idle(&pool), 1);
+        endpoint.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("a node");
+        let next = pool.checkout(ENDPOINT).await.expect("a connection");
+        assert_ne!(next.task.id(), used);
+    });
+}
+
+/// The second copy of a response may be on its way when the next request is sent.
+#[test]
+fn a_connection_cools_down_after_a_response() {
+    for (cooldown, again) in [(Duration::from_secs(600), false), (Duration::ZERO, true)] {
+        with_cooldown(cooldown, async |pool, _listener, _| {
+            let first = pool.checkout(ENDPOINT).await.expect("a connection");
+            let used = first.task.id();
+            pool.release_after_response(first);
+            let next = pool.checkout(ENDPOINT).await.expect("a connection");
+            assert_eq!(next.task.id() == used, again, "after {cooldown:?}");
+        });
+    }
+}
+
+/// Fills the listener's backlog: no dial succeeds any more.
+async fn fill_backlog(listener: &TcpListener) -> Vec<TcpStream> {
+    SockRef::from(listener).listen(0).expect("a shorter queue");
+    let address = listener.local_addr().expect("its address");
+    let mut clients = Vec::new();
+    while let Ok(Ok(client)) = timeout(Duration::from_millis(500), TcpStream::connect(address)).await {
+        clients.push(client);
+    }
+    clients
+}
+
+#[test]
+fn a_waiting_attempt_gets_a_cooled_down_connection_if_no_dial_succeeds() {
+    with_cooldown(Duration::from_millis(1), async |pool, listener, _| {
+        let first = pool.checkout(ENDPOINT).await.expect("a connection");
+        let used = first.task.id();
+        let _clients = fill_backlog(&listener).await;
+        let mut second = std::pin::pin!(pool.checkout(ENDPOINT));
+        tokio::select! {
+            biased;
+            _ = &mut second => panic!("no dial succeeds"),
+            () = std::future::ready(()) => pool.release_after_response(first),
+        }
+        assert_eq!(second.await.ok().map(|connection| connection.task.id()), Some(used));
+    });
+}
+
+/// What was decided for an endpoint that was ready and warm is not written to one that drains, or has just
+/// been started again, at its old address or elsewhere.
+#[test]
+fn an_attempt_waiting_for_a_dial_fails_at_once_when_its_endpoint_drains_or_restarts() {
+    let drains = |endpoint: &mut ListedEndpoint| endpoint.entry.state = EndpointState::Draining;
+    let restarts = |endpoint: &mut ListedEndpoint| endpoint.entry.started = Some(Duration::from_secs(1));
+    for (case, change) in [&drains as &dyn Fn(&mut ListedEndpoint), &restarts].into_iter().enumerate() {
+        with_pool(async |pool, listener, mut endpoint| {
+            let _clients = fill_backlog(&listener).await;
+            let mut waiting = std::pin::pin!(pool.checkout(ENDPOINT));
+            tokio::select! {
+                biased;
+                _ = &mut waiting => panic!("no dial succeeds"),
+                () = std::future::ready(()) => {
+                    change(&mut endpoint);
+                    pool.update(ListKind::Delta, &[endpoint]);
+                }
+            }
+            // Not that its dial has failed, which says nothing of the endpoint as it is now.
+            assert_eq!(waiting.await.err(), Some(Outcome::NotSent), "case {case}");
+        });
+    }
+}
+
+#[test]
+fn a_connection_delivered_to_a_cancelled_attempt_goes_back_to_the_pool() {
+    with_pool(async |pool, _listener, _| {
+        let first = pool.checkout(ENDPOINT).await.expect("a connection");
+        let freed = first.task.id();
+        let mut second = Box::pin(pool.checkout(ENDPOINT));
+        tokio::select! {
+            biased;
+            _ = &mut second => panic!("the dial cannot have succeeded yet"),
+            () = std::future::ready(()) => pool.release(first),
+        }
+        assert_eq!(idle(&pool), 0);
+        drop(second);
+        assert_eq!(idle(&pool), 1);
+        assert_eq!(pool.checkout(ENDPOINT).await.ok().map(|connection| connection.task.id()), Some(freed));
+    });
+}
--- /dev/null
+++ b/crates/node/src/upstream/pool/waiters.rs
@@ -0,0 +1,56 @@
+//! The attempts that wait for a connection to one endpoint.
+
+use crate::upstream::pool::CheckoutResult;
+use crate::upstream::pool::connection::Connection;
+use ottertiller_balancer::Outcome;
+use std::collections::VecDeque;
+use tokio::sync::oneshot;
+
+/// Waiting attempts, the longest waiting first.
+#[derive(Default)]
+pub struct WaiterQueue(VecDeque<oneshot::Sender<CheckoutResult>>);
+
+impl WaiterQueue {
+    /// Adds a waiter; what it is given arrives at the receiver.
+    pub fn enqueue(&mut self) -> oneshot::Receiver<CheckoutResult> {
+        let (waiter, delivery) = oneshot::channel();
+        self.0.push_back(waiter);
+        delivery
+    }
+
+    /// Forgets the waiters that have given up.
+    pub fn remove_cancelled(&mut self) {
+        self.0.retain(|waiter| !waiter.is_closed());
+    }
+
+    /// Gives a connection to the longest waiting; it comes back if nobody waits.
+    pub fn deliver(&mut self, mut connection: Connection) -> Option<Connection> {
+        while let Some(waiter) = self.0.pop_front() {
+            match waiter.send(Ok(connection)) {
+                Err(Ok(undelivered)) => connection = undelivered,
+                Ok(()) | Err(Err(_)) => return None,
+            }
+        }
+        Some(connection)
+    }
+
+    /// Fails the longest waiting until no more than `remaining` are left.
+    pub fn fail_down_to(&mut self, remaining: usize, outcome: Outcome) {
+        while self.0.len() > remaining {
+            let Some(waiter) = self.0.pop_front() else { break };
+            let _ = waiter.send(Err(outcome)); // fails only if it has given up
+        }
+    }
+
+    pub fn fail_all(&mut self, outcome: Outcome) {
+        self.fail_down_to(0, outcome);
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
