Give attempts, responses, load reports and health checks a module each

One file made attempts, read responses, parsed load reports and made health checks. The upstream side takes its own options and is the one thing that the dispatcher calls; results of exchanges are a struct in place of a tuple, and the names of headers and paths are constants. Behaviour is as before; the log line of a dropped response speaks of endpoints.

--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -5,8 +5,7 @@
 use crate::clock::Clock;
 use crate::dispatcher::Dispatcher;
 use crate::memory_budget::Budget;
-use crate::upstream::attempt::Upstream;
-use crate::upstream::pool::Pool;
+use crate::upstream::Upstream;
 use std::cell::RefCell;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpSocket;
@@ -95,8 +94,7 @@
         let (messages, mut inbox) = mpsc::channel(64);
         let (orders, discovery_orders) = mpsc::channel(16);
         let (_moves, moved) = watch::channel(config.discovery);
-        let pool = Pool::start(clock, crate::pool_options(&config));
-        let backends = Upstream::new(clock, &config, Budget::new(1 << 20), pool);
+        let backends = Upstream::start(clock, crate::upstream_options(&config), Budget::new(1 << 20));
         let mut node = Dispatcher::new(clock, &config, backends, messages.clone(), orders);
         let node = spawn_local(async move { node.run(&mut inbox).await });
         // The first call is not after a failed one: the failure lasts for so long from there.
--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -8,7 +8,7 @@
     AttemptResult, DiscoveryCommand, FinalAnswer, HealthCheckResult, IncomingRequest, Message, StopReason,
 };
 use crate::request_table::{Due, NewAttempt, RequestTable};
-use crate::upstream::attempt::{Attempt, Upstream};
+use crate::upstream::{Attempt, Upstream};
 use ottertiller_balancer::*;
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -94,7 +94,7 @@
                 }
             }
             Message::EndpointList(update) => {
-                self.upstream.pool.update(update.kind, &update.endpoints);
+                self.upstream.update_endpoints(update.kind, &update.endpoints);
                 let entries = update.endpoints.into_iter().map(|endpoint| endpoint.entry).collect();
                 self.decide(Event::EndpointList { kind: update.kind, entries });
             }
@@ -166,7 +166,7 @@
                 self.requests.set_timer(self.clock.now() + after, Due::Balancer(token));
             }
             Action::HealthCheck { endpoint } => self.probe(endpoint),
-            Action::CloseIdleConnections { endpoint } => self.upstream.pool.close_idle(endpoint),
+            Action::CloseIdleConnections { endpoint } => self.upstream.close_idle_connections(endpoint),
             Action::Subscribe { enabled } => self.order(DiscoveryCommand::Subscribe(enabled)),
             Action::FetchEndpointList => self.order(DiscoveryCommand::Fetch),
             // No message between nodes: the module sends none, and the site allows none.
@@ -200,7 +200,7 @@
         let attempt = Attempt { id, number, endpoint, until, forward };
         let (upstream, messages) = (self.upstream.clone(), self.messages.clone());
         spawn_local(async move {
-            let ended = upstream.attempt(attempt, stopped).await;
+            let ended = upstream.run_attempt(attempt, stopped).await;
             let _ = messages.send(Message::Attempt(ended)).await; // fails only when the node has ended
         });
         None
@@ -209,10 +209,8 @@
     fn probe(&mut self, endpoint: EndpointId) {
         let (sent, upstream, messages) = (self.clock.now(), self.upstream.clone(), self.messages.clone());
         spawn_local(async move {
-            let (outcome, report) = upstream.probe(endpoint).await;
-            let _ = messages
-                .send(Message::HealthCheck(HealthCheckResult { endpoint, outcome, sent, report }))
-                .await;
+            let result = upstream.check_health(endpoint, sent).await;
+            let _ = messages.send(Message::HealthCheck(result)).await; // fails only when the node has ended
         });
     }
 
--- a/crates/node/src/dispatcher_tests.rs
+++ b/crates/node/src/dispatcher_tests.rs
@@ -5,7 +5,6 @@
 use crate::memory_budget::Budget;
 use crate::message::{EndpointListUpdate, ForwardedRequest, ListedEndpoint};
 use crate::request_table::Usage;
-use crate::upstream::pool::Pool;
 use bytes::Bytes;
 use hyper::Method;
 use hyper::header::HeaderValue;
@@ -68,8 +67,7 @@
         let (messages, inbox) = mpsc::channel(4096);
         let (orders, _) = mpsc::channel(16);
         let budget = Budget::new(BUDGET);
-        let pool = Pool::start(clock, crate::pool_options(config));
-        let upstream = Upstream::new(clock, config, budget.clone(), pool);
+        let upstream = Upstream::start(clock, crate::upstream_options(config), budget.clone());
         let node = Dispatcher::new(clock, config, upstream, messages.clone(), orders);
         Host { node, inbox, front: Front { clock, messages, budget, requests: Cell::new(0) } }
     }
@@ -381,7 +379,7 @@
             );
         }
         host.run(async |front| front.list(ListKind::Snapshot, listed.clone()).await).await;
-        let before = (host.usage(), host.node.balancer.table_sizes(), host.node.upstream.pool.usage());
+        let before = (host.usage(), host.node.balancer.table_sizes(), host.node.upstream.pool_usage());
         let endings: Rc<RefCell<BTreeMap<&str, usize>>> = Rc::default();
         host.run(async |front| {
             for round in 0..ROUNDS {
@@ -429,7 +427,7 @@
             assert!(endings.get(ending).is_some_and(|count| *count > 100), "{ending}: {endings:?}");
         }
         assert_eq!(endings.get("never answered"), None);
-        let after = (host.usage(), host.node.balancer.table_sizes(), host.node.upstream.pool.usage());
+        let after = (host.usage(), host.node.balancer.table_sizes(), host.node.upstream.pool_usage());
         assert_eq!(after, before);
     });
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -53,8 +53,7 @@
     let (orders, discovery_orders) = mpsc::channel(16);
     let (moves, moved) = watch::channel(config.discovery);
     let budget = memory_budget::Budget::new(config.body_bytes);
-    let pool = upstream::pool::Pool::start(clock, pool_options(&config));
-    let upstream = upstream::attempt::Upstream::new(clock, &config, budget.clone(), pool);
+    let upstream = upstream::Upstream::start(clock, upstream_options(&config), budget.clone());
     let discovery = discovery::Discovery::new(&config, messages.clone());
     let ready = discovery.ready();
     let mut node = dispatcher::Dispatcher::new(clock, &config, upstream, messages.clone(), orders);
@@ -78,13 +77,18 @@
     }
 }
 
-/// What the connection pool is to know of the configuration.
-fn pool_options(config: &Config) -> upstream::pool::Options {
-    upstream::pool::Options {
+/// What the upstream side is to know of the configuration.
+fn upstream_options(config: &Config) -> upstream::Options {
+    let pool = upstream::pool::Options {
         max_connections: config.backend_connections,
         connect_timeout: config.site.settings.limits.connect_timeout,
         endpoint_idle_timeout: config.site.idle_close,
         response_cooldown: upstream::pool::RESPONSE_COOLDOWN,
+    };
+    upstream::Options {
+        pool,
+        load_report_source: config.site.settings.load_reports,
+        load_report_columns: config.site.columns.clone(),
     }
 }
 
--- a/crates/node/src/upstream/attempt_tests.rs
+++ b/crates/node/src/upstream/attempt_tests.rs
@@ -1,17 +1,22 @@
 use super::*;
+use crate::clock::Clock;
+use crate::memory_budget::Budget;
 use crate::message::ListedEndpoint;
+use crate::upstream::load_report::LoadReportParser;
+use crate::upstream::pool::Pool;
 use crate::upstream::pool::tests::{ENDPOINT, with_pool};
-use ottertiller_balancer::{EndpointState, ListKind};
+use hyper::Method;
+use hyper::header::HeaderValue;
+use ottertiller_balancer::{EndpointState, ListKind, LoadReportSource};
 use std::cell::RefCell;
 use tokio::io::AsyncReadExt;
 use tokio::task::spawn_local;
 
 const MINUTE: Duration = Duration::from_secs(60);
 
-/// Makes an attempt that something has overtaken since it was decided on; returns how it ended and what
-/// its backend was sent.
-fn overtaken(by: impl FnOnce(&Pool, &mut Attempt, ListedEndpoint, Duration)) -> (Outcome, String) {
-    with_pool(async |pool, listener, backend| {
+/// Makes an attempt after a change since it was decided on; returns its outcome and what its endpoint was sent.
+fn outcome_after(change: impl FnOnce(&Pool, &mut Attempt, ListedEndpoint, Duration)) -> (Outcome, String) {
+    with_pool(async |pool, listener, endpoint| {
         let clock = Clock::start();
         let now = clock.now();
         let forward = ForwardedRequest {
@@ -26,7 +31,7 @@
         };
         let (until, forward) = (now + MINUTE, Rc::new(forward));
         let mut attempt = Attempt { id: RequestId(1), number: 0, endpoint: ENDPOINT, until, forward };
-        by(&pool, &mut attempt, backend, now);
+        change(&pool, &mut attempt, endpoint, now);
         let (_stop, stopped) = oneshot::channel();
         let served = spawn_local(async move {
             let (mut stream, _) = listener.accept().await.expect("a dial");
@@ -34,33 +39,32 @@
             let read = stream.read(&mut sent).await.unwrap_or_default();
             String::from_utf8_lossy(&sent[..read]).into_owned()
         });
-        let text = r#"{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
-            "settings": {"Classes": [{"Name": "read", "Target": 1, "GiveUp": 1, "Idempotency": "free"}]}}"#;
-        let config = Config::parse(text).expect("good");
-        let backends = Upstream::new(clock, &config, Budget::new(1 << 20), pool.clone());
-        let ended = backends.attempt(attempt, stopped).await;
+        let load_reports = LoadReportParser::new(LoadReportSource::None, Vec::new());
+        let upstream = Upstream { clock, budget: Budget::new(1 << 20), pool: pool.clone(), load_reports };
+        let result = Rc::new(upstream).run_attempt(attempt, stopped).await;
         pool.close_idle(ENDPOINT);
-        (ended.outcome, served.await.expect("the backend's part"))
+        (result.outcome, served.await.expect("the endpoint's part"))
     })
 }
 
 #[test]
-fn an_attempt_that_nothing_has_overtaken_is_written() {
-    assert_eq!(overtaken(|_, _, _, _| {}), (Outcome::Reset, "POST /submit/1 ".to_owned()));
+fn an_attempt_that_is_still_permitted_is_written() {
+    assert_eq!(outcome_after(|_, _, _, _| {}), (Outcome::Reset, "POST /submit/1 ".to_owned()));
 }
 
 #[test]
-fn what_was_overtaken_while_it_waited_for_a_connection_is_never_sent() {
+fn an_attempt_no_longer_permitted_once_it_has_a_connection_is_never_sent() {
     let nothing = || (Outcome::NotSent, String::new());
-    let late = overtaken(|_, attempt, _, now| attempt.until = now);
+    let late = outcome_after(|_, attempt, _, now| attempt.until = now);
     assert_eq!(late, nothing(), "its time is over");
-    let over = overtaken(|_, attempt, _, _| attempt.forward.close());
+    let over = outcome_after(|_, attempt, _, _| attempt.forward.close());
     assert_eq!(over, nothing(), "the request has its answer");
-    let forgotten = overtaken(|_, attempt, _, now| attempt.forward.first_byte.set(Some(now - 2 * MINUTE)));
-    assert_eq!(forgotten, nothing(), "backends have forgotten the first attempt of a keyed request");
-    let drained = overtaken(|pool, _, mut backend, _| {
-        backend.entry.state = EndpointState::Draining;
-        pool.update(ListKind::Delta, &[backend]);
+    let forgotten =
+        outcome_after(|_, attempt, _, now| attempt.forward.first_byte.set(Some(now - 2 * MINUTE)));
+    assert_eq!(forgotten, nothing(), "endpoints have forgotten the first attempt of a keyed request");
+    let drained = outcome_after(|pool, _, mut endpoint, _| {
+        endpoint.entry.state = EndpointState::Draining;
+        pool.update(ListKind::Delta, &[endpoint]);
     });
-    assert_eq!(drained, nothing(), "the backend drains, though its grace is not over");
+    assert_eq!(drained, nothing(), "the endpoint drains, though its grace is not over");
 }
--- /dev/null
+++ b/crates/node/src/upstream/health_check.rs
@@ -0,0 +1,54 @@
+//! Health checks: asking an endpoint for its load, or whether it is alive where endpoints report no load.
+
+use crate::message::HealthCheckResult;
+use crate::upstream::response::{ExchangeResult, outcome_of_error};
+use crate::upstream::{Upstream, request};
+use ottertiller_balancer::{EndpointId, LoadReport, Outcome};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// What a health check that takes longer would say is out of date.
+const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Responds with a load report.
+const STATS_PATH: &str = "/stats";
+/// Responds if the endpoint is alive.
+const LIVENESS_PATH: &str = "/health/live";
+
+impl Upstream {
+    /// Checks an endpoint's health; `sent` is when the check was decided on.
+    pub async fn check_health(self: Rc<Self>, endpoint: EndpointId, sent: Duration) -> HealthCheckResult {
+        let exchange = timeout(HEALTH_CHECK_TIMEOUT, self.exchange_health_check(endpoint)).await;
+        let result = exchange.unwrap_or(ExchangeResult::without_response(Outcome::TimedOut));
+        let report = self.report_of_health_check(&result);
+        HealthCheckResult { endpoint, outcome: result.outcome, sent, report }
+    }
+
+    async fn exchange_health_check(&self, endpoint: EndpointId) -> ExchangeResult {
+        let mut connection = match self.pool.checkout(endpoint).await {
+            Ok(connection) => connection,
+            Err(outcome) => return ExchangeResult::without_response(outcome),
+        };
+        let Some(address) = self.pool.destination(&connection) else {
+            return ExchangeResult::without_response(Outcome::NotSent);
+        };
+        let path = if self.load_reports.is_enabled() { STATS_PATH } else { LIVENESS_PATH };
+        let request = request::health_check(path, address);
+        let response = match connection.sender.send_request(request).await {
+            Ok(response) => response,
+            Err(error) => return ExchangeResult::without_response(outcome_of_error(&error)),
+        };
+        let received = self.read_response(connection, response).await;
+        if let Some(connection) = received.connection {
+            // An endpoint found idle is mostly sent a request at once, over this connection.
+            self.pool.release(connection);
+        }
+        received.result
+    }
+
+    /// The report in the body is the fuller one.
+    fn report_of_health_check(&self, result: &ExchangeResult) -> Option<LoadReport> {
+        let in_body = result.body.as_ref().and_then(|body| self.load_reports.parse_body(body));
+        in_body.or(result.report)
+    }
+}
--- /dev/null
+++ b/crates/node/src/upstream/load_report.rs
@@ -0,0 +1,63 @@
+//! Load reports: what endpoints say of their load in a response's header or in a health check's body.
+
+use crate::logging::log_peer;
+use hyper::header::{HeaderMap, HeaderName};
+use ottertiller_balancer::settings::Column;
+use ottertiller_balancer::{LoadReport, LoadReportSource};
+
+const LOAD_REPORT: HeaderName = HeaderName::from_static("x-load-report");
+
+/// Reads the load reports of a site.
+pub struct LoadReportParser {
+    source: LoadReportSource,
+    columns: Vec<Column>,
+}
+
+impl LoadReportParser {
+    /// A parser that takes in these columns and leaves out all others.
+    pub fn new(source: LoadReportSource, columns: Vec<Column>) -> Self {
+        LoadReportParser { source, columns }
+    }
+
+    /// Whether endpoints report their load at all.
+    pub fn is_enabled(&self) -> bool {
+        self.source != LoadReportSource::None
+    }
+
+    /// The report in a response's headers. A malformed one is logged and dropped.
+    pub fn parse_headers(&self, headers: &HeaderMap) -> Option<LoadReport> {
+        let value = headers.get(LOAD_REPORT).filter(|_| self.is_enabled())?;
+        let report = value.to_str().ok().and_then(|text| self.parse(text));
+        if report.is_none() {
+            log_peer(format_args!("a malformed load report was dropped: {value:?}"));
+        }
+        report
+    }
+
+    /// The report that is the body of a health check's response.
+    pub fn parse_body(&self, body: &[u8]) -> Option<LoadReport> {
+        if !self.is_enabled() {
+            return None;
+        }
+        self.parse(std::str::from_utf8(body).ok()?)
+    }
+
+    /// Parses `inflight=7,queue=2`; `None` unless all of it is well formed.
+    fn parse(&self, text: &str) -> Option<LoadReport> {
+        let mut report = LoadReport::default();
+        for field in text.trim().split(',') {
+            let (name, value) = field.split_once('=')?;
+            let column = Column::on_sockets(name.trim());
+            let value = parse_value(value)?;
+            if self.columns.contains(&column) {
+                column.set(&mut report, value);
+            }
+        }
+        Some(report)
+    }
+}
+
+fn parse_value(text: &str) -> Option<f32> {
+    let value: f32 = text.trim().parse().ok()?;
+    (value.is_finite() && value >= 0.0).then_some(value)
+}
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -1,4 +1,66 @@
 //! The upstream side: connections to endpoints, attempts of requests and health checks.
 
-pub mod attempt;
+mod attempt;
+mod health_check;
+mod load_report;
 pub mod pool;
+mod request;
+mod response;
+
+pub use attempt::Attempt;
+
+use crate::clock::Clock;
+use crate::memory_budget::Budget;
+use crate::message::ListedEndpoint;
+use load_report::LoadReportParser;
+use ottertiller_balancer::settings::Column;
+use ottertiller_balancer::{EndpointId, ListKind, LoadReportSource};
+use pool::Pool;
+use std::rc::Rc;
+
+/// The options of the upstream side.
+#[derive(Clone, Debug)]
+pub struct Options {
+    pub pool: pool::Options,
+    /// How endpoints report their load.
+    pub load_report_source: LoadReportSource,
+    /// The columns of load reports that are taken in.
+    pub load_report_columns: Vec<Column>,
+}
+
+/// Sends attempts and health checks to endpoints.
+pub struct Upstream {
+    clock: Clock,
+    /// Memory for the bodies of requests and responses.
+    budget: Budget,
+    pool: Rc<Pool>,
+    load_reports: LoadReportParser,
+}
+
+impl Upstream {
+    /// An upstream side that knows no endpoint yet.
+    pub fn start(clock: Clock, options: Options, budget: Budget) -> Rc<Self> {
+        Rc::new(Upstream {
+            clock,
+            budget,
+            pool: Pool::start(clock, options.pool),
+            load_reports: LoadReportParser::new(options.load_report_source, options.load_report_columns),
+        })
+    }
+
+    /// Applies a change of the endpoint list, or a complete list.
+    pub fn update_endpoints(&self, kind: ListKind, listed: &[ListedEndpoint]) {
+        self.pool.update(kind, listed);
+    }
+
+    /// Closes the idle connections to an endpoint.
+    pub fn close_idle_connections(&self, endpoint: EndpointId) {
+        self.pool.close_idle(endpoint);
+    }
+
+    /// What the pool holds; see [`Pool::usage`].
+    #[cfg(test)]
+    pub fn pool_usage(&self) -> (usize, usize, usize) {
+        self.pool.usage()
+    }
+}
--- /dev/null
+++ b/crates/node/src/upstream/request.rs
@@ -0,0 +1,65 @@
+//! Requests as they are written to endpoints.
+
+use crate::upstream::attempt::Attempt;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, Uri};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const CALL_ID: HeaderName = HeaderName::from_static("x-call-id");
+/// The milliseconds until the node stops waiting for the attempt.
+const BUDGET_MS: HeaderName = HeaderName::from_static("x-budget-ms");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+impl Attempt {
+    /// The request as it is written at `now`, if it still may be: not past its time, not once endpoints have
+    /// forgotten its idempotency key, and not once it has its final answer.
+    pub(super) fn request(&self, now: Duration, destination: SocketAddr) -> Option<Request<Full<Bytes>>> {
+        if now >= self.until || self.is_key_forgotten(now) {
+            return None;
+        }
+        let body = self.forward.body()?;
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = self.forward.method.clone();
+        *request.uri_mut() = self.forward.path.clone().into();
+        self.insert_headers(request.headers_mut(), now, destination);
+        if self.forward.first_byte.get().is_none() {
+            self.forward.first_byte.set(Some(now));
+        }
+        Some(request)
+    }
+
+    /// Whether endpoints may have forgotten an earlier attempt of a keyed request, and would run it again.
+    fn is_key_forgotten(&self, now: Duration) -> bool {
+        match (self.forward.idempotency_window, self.forward.first_byte.get()) {
+            (Some(window), Some(first_byte)) => now >= first_byte + window,
+            _ => false,
+        }
+    }
+
+    fn insert_headers(&self, headers: &mut HeaderMap, now: Duration, destination: SocketAddr) {
+        let remaining_ms = (self.until - now).as_millis().max(1) as u64;
+        headers.insert(HOST, host(destination));
+        headers.insert(CALL_ID, self.forward.call_id.clone());
+        headers.insert(BUDGET_MS, remaining_ms.into());
+        if let Some(key) = &self.forward.idempotency_key {
+            headers.insert(IDEMPOTENCY_KEY, key.clone());
+        }
+    }
+}
+
+/// A health check's request.
+pub fn health_check(path: &'static str, destination: SocketAddr) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::default());
+    *request.method_mut() = Method::GET;
+    *request.uri_mut() = Uri::from_static(path);
+    request.headers_mut().insert(HOST, host(destination));
+    request
+}
+
+fn host(address: SocketAddr) -> HeaderValue {
+    // An address is always a valid value.
+    HeaderValue::from_str(&address.to_string()).unwrap_or(HeaderValue::from_static("endpoint"))
+}
--- /dev/null
+++ b/crates/node/src/upstream/response.rs
@@ -0,0 +1,129 @@
+//! Reading an endpoint's response, and what it says about the attempt or health check that it ends.
+
+use crate::limits::MAX_BODY_BYTES;
+use crate::logging::log_peer;
+use crate::memory_budget::Lease;
+use crate::upstream::Upstream;
+use crate::upstream::pool::Connection;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, HeaderName, TRANSFER_ENCODING};
+use hyper::{Response, StatusCode};
+use ottertiller_balancer::{EndpointId, LoadReport, Outcome};
+use std::error::Error;
+use std::io::{self, ErrorKind};
+
+/// Marks a response whose request was rejected before it ran.
+const REJECTED: HeaderName = HeaderName::from_static("x-rejected");
+const REJECTED_TRUE: &str = "1";
+
+/// How an exchange with an endpoint ended.
+pub struct ExchangeResult {
+    pub outcome: Outcome,
+    /// The load report in the response's headers.
+    pub report: Option<LoadReport>,
+    /// The response's body, if the request was served.
+    pub body: Option<Bytes>,
+}
+
+impl ExchangeResult {
+    /// An exchange that ended without a response.
+    pub fn without_response(outcome: Outcome) -> Self {
+        ExchangeResult { outcome, report: None, body: None }
+    }
+
+    fn without_body(outcome: Outcome, report: Option<LoadReport>) -> Self {
+        ExchangeResult { outcome, report, body: None }
+    }
+}
+
+/// A response that was read.
+pub struct ReceivedResponse {
+    pub result: ExchangeResult,
+    /// The connection that it came on, unless that had to be closed.
+    pub connection: Option<Connection>,
+}
+
+/// Why a response was dropped unread.
+#[derive(Debug, thiserror::Error)]
+enum Unreadable {
+    #[error("endpoint {:x}: a response of no length, or too long, was dropped", .0.0)]
+    Length(EndpointId),
+    #[error("no room for a response's body: dropped")]
+    OutOfMemory,
+}
+
+impl Upstream {
+    /// Reads a response to its end, so that one that breaks off is an outcome like others and the client never gets
+    /// half of it.
+    pub(super) async fn read_response(
+        &self,
+        connection: Connection,
+        response: Response<Incoming>,
+    ) -> ReceivedResponse {
+        let (head, body) = response.into_parts();
+        let report = self.load_reports.parse_headers(&head.headers);
+        let lease = match self.lease_for_body(connection.endpoint, &head.headers, &body) {
+            Ok(lease) => lease,
+            Err(error) => {
+                log_peer(error);
+                let result = ExchangeResult::without_body(Outcome::Error, report);
+                return ReceivedResponse { result, connection: None };
+            }
+        };
+        let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
+            Ok(body) => lease.keep(body.to_bytes()),
+            Err(error) => {
+                let outcome = error.downcast_ref().map_or(Outcome::Error, outcome_of_error);
+                let result = ExchangeResult::without_response(outcome);
+                return ReceivedResponse { result, connection: None };
+            }
+        };
+        let outcome = outcome_of_status(head.status, &head.headers);
+        let body = (outcome == Outcome::Served).then_some(body);
+        ReceivedResponse { result: ExchangeResult { outcome, report, body }, connection: Some(connection) }
+    }
+
+    /// Room in memory for a response's body.
+    fn lease_for_body(
+        &self,
+        endpoint: EndpointId,
+        headers: &HeaderMap,
+        body: &Incoming,
+    ) -> Result<Lease, Unreadable> {
+        let content_length = body.size_hint().exact();
+        // With neither, the body ends with the connection, and one that broke off looks complete.
+        let is_framed = content_length.is_some() || headers.contains_key(TRANSFER_ENCODING);
+        let max_length = match content_length {
+            Some(length) => usize::try_from(length).unwrap_or(usize::MAX),
+            None => MAX_BODY_BYTES,
+        };
+        if !is_framed || max_length > MAX_BODY_BYTES {
+            return Err(Unreadable::Length(endpoint));
+        }
+        self.budget.lease(max_length).ok_or(Unreadable::OutOfMemory)
+    }
+}
+
+fn outcome_of_status(status: StatusCode, headers: &HeaderMap) -> Outcome {
+    let rejected = headers.get(REJECTED).is_some_and(|value| value == REJECTED_TRUE);
+    match status {
+        StatusCode::OK => Outcome::Served,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Rejected,
+        // Nothing else promises that the request never ran.
+        _ => Outcome::Error,
+    }
+}
+
+/// What a response that did not arrive completely says about its endpoint. Where the connection ended, the process
+/// may have died. Where the bytes made no sense, something responds there: that is a failure like another, and no
+/// reason to take the endpoint out of use.
+pub fn outcome_of_error(error: &hyper::Error) -> Outcome {
+    if error.is_parse() || is_invalid_data(error) { Outcome::Error } else { Outcome::Reset }
+}
+
+fn is_invalid_data(error: &hyper::Error) -> bool {
+    let cause = error.source().and_then(|cause| cause.downcast_ref::<io::Error>());
+    cause.is_some_and(|cause| matches!(cause.kind(), ErrorKind::InvalidInput | ErrorKind::InvalidData))
+}
