Name what the pool holds in a struct, and check that no dial is left over

The tests compared a tuple of three counts. Epochs have a module of their own, below connections and registry.

--- a/crates/node/src/discovery/framing.rs
+++ b/crates/node/src/discovery/framing.rs
@@ -30,7 +30,7 @@
         self.unread.extend_from_slice(data);
     }
 
-    /// The next complete list, or what stands in the place of one and can't be parsed.
+    /// The next complete list, or what was sent instead of one and can't be parsed.
     pub fn next_list(&mut self) -> Result<Option<Bytes>, ListTooLong> {
         while let Some(line_end) = self.find_line_end() {
             if let Some(list) = self.take_line(line_end) {
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -147,7 +147,7 @@
         }
         let endpoints = self.parse_entries(list.entries);
         self.publish(kind, endpoints).await;
-        // Only now: a watch that is dropped before has not told the dispatcher, and the next one must.
+        // Only now: a watch that is dropped before has not published the list, and the next one has to.
         self.version = if kind == ListKind::Delta { version.max(self.version) } else { version };
         if kind != ListKind::Cached || self.poll {
             self.readiness.set();
--- a/crates/node/src/discovery/poll.rs
+++ b/crates/node/src/discovery/poll.rs
@@ -1,4 +1,4 @@
-//! Where the list must be polled: the balancer says when, and is told of every call that fails.
+//! Where the list must be polled: the balancer commands when, and every call that fails is reported to it.
 
 use crate::discovery::client::ClientError;
 use crate::discovery::{Discovery, ListSource, next_address};
--- a/crates/node/src/discovery/readiness.rs
+++ b/crates/node/src/discovery/readiness.rs
@@ -14,7 +14,7 @@
 pub struct Readiness(Rc<Cell<bool>>);
 
 impl Readiness {
-    /// The flag, for whoever accepts clients.
+    /// The flag, for the side that accepts clients.
     pub fn flag(&self) -> Rc<Cell<bool>> {
         self.0.clone()
     }
--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -67,7 +67,7 @@
         assert!(stream.read(&mut read).await.expect("a head") > 0);
         const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
         let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
-        let answer = if Instant::now() >= reachable {
+        let response = if Instant::now() >= reachable {
             sleep(BUSY).await;
             stream.write_all(format!("{HEAD}{}", chunk(LISTED)).as_bytes()).await.expect("a node");
             return Instant::now();
@@ -79,7 +79,7 @@
                 Failure::Refused | Failure::Reset | Failure::Stalled => String::new(),
             }
         };
-        stream.write_all(answer.as_bytes()).await.expect("a node");
+        stream.write_all(response.as_bytes()).await.expect("a node");
         if failure != Failure::Reset {
             open.borrow_mut().push(stream);
         }
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -58,9 +58,8 @@
         self.pool.close_idle(endpoint);
     }
 
-    /// What the pool holds; see [`Pool::usage`].
     #[cfg(test)]
-    pub fn pool_usage(&self) -> (usize, usize, usize) {
+    pub fn pool_usage(&self) -> pool::Usage {
         self.pool.usage()
     }
 }
--- a/crates/node/src/upstream/pool/connection.rs
+++ b/crates/node/src/upstream/pool/connection.rs
@@ -1,6 +1,7 @@
 //! Connections to endpoints, and the limit on how many are open at once.
 
 use crate::socket::Handle;
+use crate::upstream::pool::epoch::Epoch;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
@@ -48,17 +49,6 @@
     }
 }
 
-/// One run of an endpoint at one address while it takes new requests. No epoch is used twice, also when an endpoint
-/// is removed from the list and added again.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Epoch(u64);
-
-impl Epoch {
-    pub fn next(self) -> Self {
-        Epoch(self.0 + 1)
-    }
-}
-
 /// A connection to an endpoint. When dropped it closes at once, even in the middle of an exchange.
 pub struct Connection {
     pub endpoint: EndpointId,
--- a/crates/node/src/upstream/pool/dial.rs
+++ b/crates/node/src/upstream/pool/dial.rs
@@ -3,7 +3,8 @@
 use crate::limits::READ_BUFFER_BYTES;
 use crate::logging::log_peer;
 use crate::socket::Socket;
-use crate::upstream::pool::connection::{Connection, ConnectionPermit, Epoch};
+use crate::upstream::pool::connection::{Connection, ConnectionPermit};
+use crate::upstream::pool::epoch::Epoch;
 use crate::upstream::pool::{CheckoutResult, Pool};
 use hyper::client::conn::http1;
 use ottertiller_balancer::{EndpointId, Outcome};
@@ -55,7 +56,7 @@
 }
 
 impl Pool {
-    /// Opens a connection in the background, for whoever waits longest when it is open.
+    /// Opens a connection in the background, for the attempt that waits longest when it is open.
     pub(super) fn spawn_dial(self: &Rc<Self>, dial: Dial) {
         let pool = self.clone();
         spawn_local(async move {
@@ -79,7 +80,7 @@
     fn dial_ended(&self, endpoint: EndpointId, epoch: Epoch, result: CheckoutResult) {
         match self.registry.borrow_mut().in_epoch_mut(endpoint, epoch) {
             Some(slot) => slot.dials_in_flight -= 1,
-            // The endpoint has moved, restarted, drained or gone since, and those that waited for it were told.
+            // The endpoint has moved, restarted, drained or been removed since: its waiters have failed by that.
             None => return,
         }
         let failure = match result {
--- a/crates/node/src/upstream/pool/mod.rs
+++ b/crates/node/src/upstream/pool/mod.rs
@@ -4,6 +4,7 @@
 mod checkout;
 mod connection;
 mod dial;
+mod epoch;
 mod idle;
 mod registry;
 mod waiters;
@@ -45,6 +46,16 @@
     pub response_cooldown: Duration,
 }
 
+/// What the pool holds.
+#[cfg(test)]
+#[derive(Debug, PartialEq, Eq)]
+pub struct Usage {
+    pub endpoints: usize,
+    pub open_connections: usize,
+    pub waiting_attempts: usize,
+    pub dials_in_flight: usize,
+}
+
 /// The pool, shared by all attempts and health checks.
 pub struct Pool {
     clock: Clock,
@@ -139,11 +150,16 @@
         slot.is_ready().then_some(slot.address)
     }
 
-    /// The numbers of endpoints, open connections and waiting attempts.
     #[cfg(test)]
-    pub fn usage(&self) -> (usize, usize, usize) {
-        let (endpoints, waiting) = self.registry.borrow().usage();
-        (endpoints, self.limit.get(), waiting)
+    pub fn usage(&self) -> Usage {
+        let registry = self.registry.borrow();
+        let slots = registry.slots().values();
+        Usage {
+            endpoints: registry.slots().len(),
+            open_connections: self.limit.get(),
+            waiting_attempts: slots.clone().map(|slot| slot.waiters.len()).sum(),
+            dials_in_flight: slots.map(|slot| slot.dials_in_flight).sum(),
+        }
     }
 }
 
--- a/crates/node/src/upstream/pool/registry.rs
+++ b/crates/node/src/upstream/pool/registry.rs
@@ -1,7 +1,7 @@
 //! The endpoints that the pool knows, as the endpoint list has them, and the connections and waiters of each.
 
 use crate::message::ListedEndpoint;
-use crate::upstream::pool::connection::Epoch;
+use crate::upstream::pool::epoch::Epoch;
 use crate::upstream::pool::idle::IdleConnections;
 use crate::upstream::pool::waiters::WaiterQueue;
 use ottertiller_balancer::{EndpointId, EndpointState, ListKind, Outcome};
@@ -134,16 +134,8 @@
         }
     }
 
-    /// The numbers of endpoints and of waiting attempts.
     #[cfg(test)]
-    pub fn usage(&self) -> (usize, usize) {
-        let waiting = self.slots.values().map(|slot| slot.waiters.len()).sum();
-        (self.slots.len(), waiting)
-    }
-
-    /// How many connections to the endpoint are idle.
-    #[cfg(test)]
-    pub fn idle_connections(&self, id: EndpointId) -> usize {
-        self.slots.get(&id).map_or(0, |slot| slot.idle.len())
+    pub fn slots(&self) -> &BTreeMap<EndpointId, EndpointSlot> {
+        &self.slots
     }
 }
--- a/crates/node/src/upstream/pool/tests.rs
+++ b/crates/node/src/upstream/pool/tests.rs
@@ -38,7 +38,7 @@
 
 /// How many connections to the endpoint are idle in the pool.
 fn idle(pool: &Pool) -> usize {
-    pool.registry.borrow().idle_connections(ENDPOINT)
+    pool.registry.borrow().slots().get(&ENDPOINT).map_or(0, |slot| slot.idle.len())
 }
 
 #[test]
