Cut the socket's read-ahead into steps, and name its parts in standard terms

Reading ahead until the peer has closed and handing out what was read are methods of the shared state now, one step each; what the handle's callers use keeps its names. Behaviour is as before.

--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -1,4 +1,4 @@
-//! A TCP stream for hyper, and a handle by which whoever keeps the connection can still look at it.
+//! A TCP stream for hyper, and a handle by which the owner of the connection can still inspect it.
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
@@ -13,98 +13,146 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
 
-/// How often a peer that has sent more than is read on ahead is looked after: one that has gone is to be known as
-/// gone well within 0.1 s.
-const LOOK_AGAIN: Duration = Duration::from_millis(20);
-/// The most that one read takes in.
-const CHUNK: usize = 8 * 1024;
+/// How often a peer is checked that has sent more than is read ahead: one that has disconnected is to be known to
+/// have done so well within 0.1 s.
+const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// The most bytes that one read takes in, and that are read ahead.
+const MAX_READ_BYTES: usize = 8 * 1024;
 
 /// The stream, for hyper.
 pub struct Socket(Rc<Shared>);
 
-/// Looks at the stream, but does not keep it open.
+/// Inspects the stream, but does not keep it open.
 #[derive(Clone)]
 pub struct Handle(Weak<Shared>);
 
 struct Shared {
     stream: TcpStream,
-    /// When the first bytes came since `Handle::listen_anew`.
-    heard: Cell<Option<Instant>>,
-    /// What `Handle::left` has read and hyper has not asked for yet; one `CHUNK` at most.
-    ahead: RefCell<Vec<u8>>,
+    /// When the first bytes arrived since `Handle::listen_anew`.
+    first_byte_at: Cell<Option<Instant>>,
+    /// What `Handle::left` has read and hyper has not asked for yet; `MAX_READ_BYTES` at most.
+    read_ahead: RefCell<Vec<u8>>,
+}
+
+/// Why reading ahead has ended.
+#[derive(PartialEq, Eq)]
+enum ReadAheadEnd {
+    PeerClosed,
+    /// The buffer is full, or the runtime shuts down.
+    Stopped,
 }
 
 impl Shared {
-    fn hear(&self) {
-        if self.heard.get().is_none() {
-            self.heard.set(Some(Instant::now()));
+    fn note_arrival(&self) {
+        if self.first_byte_at.get().is_none() {
+            self.first_byte_at.set(Some(Instant::now()));
+        }
+    }
+
+    /// Reads ahead until the peer has closed its side, as far as there is room.
+    async fn fill_read_ahead(&self) -> ReadAheadEnd {
+        while self.stream.readable().await.is_ok() {
+            let mut read_ahead = self.read_ahead.borrow_mut();
+            let room = MAX_READ_BYTES - read_ahead.len();
+            if room == 0 {
+                return ReadAheadEnd::Stopped;
+            }
+            let mut chunk = [0; MAX_READ_BYTES];
+            match self.stream.try_read(&mut chunk[..room]) {
+                Ok(0) => return ReadAheadEnd::PeerClosed,
+                Ok(count) => {
+                    self.note_arrival();
+                    read_ahead.extend_from_slice(&chunk[..count]);
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return ReadAheadEnd::PeerClosed,
+            }
+        }
+        ReadAheadEnd::Stopped
+    }
+
+    /// Hands out what was read ahead; false if that is nothing.
+    fn take_read_ahead(&self, buffer: &mut ReadBufCursor<'_>) -> bool {
+        let mut read_ahead = self.read_ahead.borrow_mut();
+        let count = buffer.remaining().min(read_ahead.len());
+        if read_ahead.is_empty() {
+            return false;
         }
+        buffer.put_slice(&read_ahead[..count]);
+        read_ahead.drain(..count);
+        true
     }
 }
 
 impl Socket {
+    /// The stream and its handle.
     pub fn new(stream: TcpStream) -> (Self, Handle) {
-        let _ = stream.set_nodelay(true);
-        let shared = Rc::new(Shared { stream, heard: Cell::default(), ahead: RefCell::default() });
+        let _ = stream.set_nodelay(true); // without it the stream is only slower
+        let shared =
+            Rc::new(Shared { stream, first_byte_at: Cell::default(), read_ahead: RefCell::default() });
         let handle = Handle(Rc::downgrade(&shared));
         (Socket(shared), handle)
     }
+
+    fn poll_try_write(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.stream.poll_write_ready(cx))?;
+            match write(&self.0.stream) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
 }
 
 impl Handle {
+    /// When the first bytes arrived since the stream was opened or [`Handle::listen_anew`] was called.
     pub fn heard(&self) -> Option<Instant> {
-        self.0.upgrade()?.heard.get()
+        self.0.upgrade()?.first_byte_at.get()
     }
 
+    /// Forgets when the first bytes arrived: the next ones are the first.
     pub fn listen_anew(&self) {
         if let Some(shared) = self.0.upgrade() {
-            shared.heard.set(None);
+            shared.first_byte_at.set(None);
         }
     }
 
-    /// Whether it is open and has nothing to read. Asks the kernel: what the runtime has heard of it may be a
-    /// turn of the loop old.
+    /// Whether it is open and has nothing to read. Asks the kernel: what the runtime knows may be one turn of the
+    /// loop old.
     pub fn is_quiet(&self) -> bool {
         let Some(shared) = self.0.upgrade() else { return false };
-        if !shared.ahead.borrow().is_empty() {
+        if !shared.read_ahead.borrow().is_empty() {
             return false;
         }
         let peeked = SockRef::from(&shared.stream).peek(&mut [MaybeUninit::uninit()]);
-        peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+        peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
     }
 
-    /// Ends once the peer has ended its side. Hyper does not look for that while bytes wait behind the request it
-    /// is at, so these are read on ahead, as far as there is room for them. To be polled after hyper, which is to
-    /// have first what it wants.
+    /// Ends once the peer has closed its side. Hyper does not check for that while bytes wait behind the request it
+    /// serves, so these are read ahead, as far as there is room for them. To be polled after hyper, which has to get
+    /// first what it wants.
     pub async fn left(&self) {
         let Some(shared) = self.0.upgrade() else { return };
-        while shared.stream.readable().await.is_ok() {
-            let mut chunk = [0; CHUNK];
-            let mut ahead = shared.ahead.borrow_mut();
-            let room = CHUNK - ahead.len();
-            match shared.stream.try_read(&mut chunk[..room]) {
-                _ if room == 0 => break,
-                Ok(0) => return,
-                Ok(count) => {
-                    shared.hear();
-                    ahead.extend_from_slice(&chunk[..count]);
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                Err(_) => return,
-            }
+        if shared.fill_read_ahead().await == ReadAheadEnd::PeerClosed {
+            return;
         }
-        // No more can be read on ahead: only the runtime's word for it is left, which wakes nobody.
+        // No more can be read ahead: only the runtime's readiness is left, which wakes nobody.
         while !self.has_left() {
-            sleep(LOOK_AGAIN).await;
+            sleep(PEER_CHECK_INTERVAL).await;
         }
     }
 
-    /// Whether the peer is known to have ended its side, whatever waits to be read before that.
+    /// Whether the peer is known to have closed its side, whatever waits to be read before that.
     pub fn has_left(&self) -> bool {
         let Some(shared) = self.0.upgrade() else { return true };
-        let ready =
-            pin!(shared.stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
-        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+        let ready = pin!(shared.stream.ready(Interest::READABLE));
+        let polled = ready.poll(&mut Context::from_waker(Waker::noop()));
+        matches!(polled, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 }
 
@@ -112,61 +160,41 @@
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        mut to: ReadBufCursor<'_>,
+        mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let most = to.remaining().min(CHUNK);
-        let mut ahead = self.0.ahead.borrow_mut();
-        if !ahead.is_empty() {
-            let most = most.min(ahead.len());
-            to.put_slice(&ahead[..most]);
-            ahead.drain(..most);
+        if self.0.take_read_ahead(&mut buffer) {
             return Poll::Ready(Ok(()));
         }
-        let mut chunk = [0; CHUNK];
+        let max_count = buffer.remaining().min(MAX_READ_BYTES);
+        let mut chunk = [0; MAX_READ_BYTES];
         loop {
             ready!(self.0.stream.poll_read_ready(cx))?;
-            match self.0.stream.try_read(&mut chunk[..most]) {
+            match self.0.stream.try_read(&mut chunk[..max_count]) {
                 Ok(count) => {
                     if count > 0 {
-                        self.0.hear();
+                        self.0.note_arrival();
                     }
-                    to.put_slice(&chunk[..count]);
+                    buffer.put_slice(&chunk[..count]);
                     return Poll::Ready(Ok(()));
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
-    }
-}
-
-impl Socket {
-    fn poll_try_write(
-        &self,
-        cx: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.stream.poll_write_ready(cx))?;
-            match write(&self.0.stream) {
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
             }
         }
     }
 }
 
 impl Write for Socket {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, from: &[u8]) -> Poll<io::Result<usize>> {
-        self.poll_try_write(cx, |stream| stream.try_write(from))
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_try_write(cx, |stream| stream.try_write(bytes))
     }
 
     fn poll_write_vectored(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        from: &[io::IoSlice<'_>],
+        slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.poll_try_write(cx, |stream| stream.try_write_vectored(from))
+        self.poll_try_write(cx, |stream| stream.try_write_vectored(slices))
     }
 
     fn is_write_vectored(&self) -> bool {
