Test the pool's limit, load reports, rejections and backoff by themselves

The modules that were split out are small enough to be tested alone: a failed dial returns its permit, an idle connection makes room at the limit and one in use does not, endpoints missing from a complete list are forgotten; load reports that are malformed in part; which statuses are rejections; pauses of the backoff. Public items that had no doc comment have one.

--- a/crates/node/src/discovery/backoff.rs
+++ b/crates/node/src/discovery/backoff.rs
@@ -22,10 +22,12 @@
 }
 
 impl Backoff {
+    /// Pauses of at most `max_pause`, with jitter from `seed`.
     pub fn new(max_pause: Duration, seed: u64) -> Self {
         Backoff { pause: MIN_PAUSE, max_pause, random: Pcg32::seed_from_u64(seed) }
     }
 
+    /// Begins anew with the shortest pause.
     pub fn reset(&mut self) {
         self.pause = MIN_PAUSE;
     }
@@ -46,3 +48,7 @@
         self.pause.mul_f64(0.5 + fraction / 2.0)
     }
 }
+
+#[cfg(test)]
+#[path = "backoff_tests.rs"]
+mod tests;
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -52,6 +52,7 @@
 }
 
 impl Client {
+    /// A client of the discovery that listens at `address`.
     pub fn new(address: SocketAddr, connect_timeout: Duration) -> Self {
         Client { address, connect_timeout }
     }
--- a/crates/node/src/discovery/endpoint_list.rs
+++ b/crates/node/src/discovery/endpoint_list.rs
@@ -39,6 +39,7 @@
 }
 
 impl EndpointList {
+    /// Parses a list, but not its entries.
     pub fn parse(text: &[u8]) -> Result<Self, MalformedList> {
         Ok(serde_json::from_slice(text)?)
     }
@@ -91,10 +92,12 @@
 }
 
 impl EntryParser {
+    /// A parser for zones and machine kinds of these names, in the order of their numbers.
     pub fn new(zone_names: Vec<String>, kind_names: Vec<String>) -> Self {
         EntryParser { zone_names, kind_names }
     }
 
+    /// Parses an entry.
     pub fn parse(&self, entry: Value) -> Result<ListedEndpoint, EntryError> {
         let raw: RawEntry = serde_json::from_value(entry)?;
         let Some(zone) = self.zone(&raw.zone) else {
--- a/crates/node/src/discovery/framing.rs
+++ b/crates/node/src/discovery/framing.rs
@@ -26,6 +26,7 @@
 }
 
 impl ListFramer {
+    /// Adds data that has arrived.
     pub fn push(&mut self, data: &[u8]) {
         self.unread.extend_from_slice(data);
     }
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -73,6 +73,7 @@
 }
 
 impl Discovery {
+    /// Discovery that has not been called yet; lists go to `messages`.
     pub fn new(options: Options, messages: mpsc::Sender<Message>) -> Self {
         let max_pause = max_pause(options.drain_grace);
         Discovery {
--- a/crates/node/src/discovery/readiness.rs
+++ b/crates/node/src/discovery/readiness.rs
@@ -19,6 +19,7 @@
         self.0.clone()
     }
 
+    /// The node knows enough.
     pub fn set(&self) {
         self.0.set(true);
     }
--- a/crates/node/src/upstream/load_report.rs
+++ b/crates/node/src/upstream/load_report.rs
@@ -61,3 +61,7 @@
     let value: f32 = text.trim().parse().ok()?;
     (value.is_finite() && value >= 0.0).then_some(value)
 }
+
+#[cfg(test)]
+#[path = "load_report_tests.rs"]
+mod tests;
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -58,6 +58,7 @@
         self.pool.close_idle(endpoint);
     }
 
+    /// What the pool holds now.
     #[cfg(test)]
     pub fn pool_usage(&self) -> pool::Usage {
         self.pool.usage()
--- a/crates/node/src/upstream/pool/connection.rs
+++ b/crates/node/src/upstream/pool/connection.rs
@@ -18,6 +18,7 @@
 }
 
 impl ConnectionLimit {
+    /// A limit of `max` connections.
     pub fn new(max: usize) -> Self {
         ConnectionLimit { open: Rc::default(), max }
     }
--- a/crates/node/src/upstream/pool/idle.rs
+++ b/crates/node/src/upstream/pool/idle.rs
@@ -19,6 +19,7 @@
 pub struct IdleConnections(Vec<IdleConnection>);
 
 impl IdleConnections {
+    /// Adds a connection that is idle from `now` on.
     pub fn push(&mut self, connection: Connection, now: Duration) {
         self.0.push(IdleConnection { connection, since: now });
     }
@@ -57,6 +58,7 @@
         true
     }
 
+    /// Closes all of them.
     pub fn close_all(&mut self) {
         self.0.clear();
     }
--- a/crates/node/src/upstream/pool/mod.rs
+++ b/crates/node/src/upstream/pool/mod.rs
@@ -150,6 +150,7 @@
         slot.is_ready().then_some(slot.address)
     }
 
+    /// What the pool holds now.
     #[cfg(test)]
     pub fn usage(&self) -> Usage {
         let registry = self.registry.borrow();
--- a/crates/node/src/upstream/pool/registry.rs
+++ b/crates/node/src/upstream/pool/registry.rs
@@ -11,12 +11,15 @@
 
 /// What the pool holds for one endpoint.
 pub struct EndpointSlot {
+    /// Where it listens.
     pub address: SocketAddr,
+    /// The epoch that it is in.
     pub epoch: Epoch,
     pub idle: IdleConnections,
     pub waiters: WaiterQueue,
     /// Dials under way in this epoch: never fewer than waiters.
     pub dials_in_flight: usize,
+    /// Its state and its last start, as listed.
     state: EndpointState,
     started: Option<Duration>,
 }
@@ -103,6 +106,7 @@
         }
     }
 
+    /// The endpoint, in whatever epoch it is.
     pub fn get_mut(&mut self, id: EndpointId) -> Option<&mut EndpointSlot> {
         self.slots.get_mut(&id)
     }
@@ -134,6 +138,7 @@
         }
     }
 
+    /// All endpoints.
     #[cfg(test)]
     pub fn slots(&self) -> &BTreeMap<EndpointId, EndpointSlot> {
         &self.slots
--- a/crates/node/src/upstream/pool/tests.rs
+++ b/crates/node/src/upstream/pool/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use ottertiller_balancer::{EndpointEntry, EndpointState, Outcome};
 use socket2::SockRef;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::LocalSet;
 use tokio::time::timeout;
 
@@ -27,9 +27,11 @@
     })
 }
 
+const MAX_CONNECTIONS: usize = 16;
+
 fn options(response_cooldown: Duration) -> Options {
     Options {
-        max_connections: 16,
+        max_connections: MAX_CONNECTIONS,
         connect_timeout: Duration::from_millis(250),
         endpoint_idle_timeout: Duration::from_secs(15),
         response_cooldown,
@@ -164,3 +166,53 @@
         assert_eq!(pool.checkout(ENDPOINT).await.ok().map(|connection| connection.task.id()), Some(freed));
     });
 }
+
+/// A second endpoint's number.
+const UNREACHABLE: EndpointId = EndpointId(2);
+
+#[test]
+fn a_failed_dial_returns_its_permit() {
+    with_pool(async |pool, _listener, mut endpoint| {
+        // Its port is bound, so that nobody else gets it, and not listened on.
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+        endpoint.address = socket.local_addr().expect("its address");
+        endpoint.entry.id = UNREACHABLE;
+        pool.update(ListKind::Delta, &[endpoint]);
+        assert_eq!(pool.checkout(UNREACHABLE).await.err(), Some(Outcome::ConnectFailed));
+        let usage = pool.usage();
+        assert_eq!((usage.open_connections, usage.dials_in_flight, usage.waiting_attempts), (0, 0, 0));
+    });
+}
+
+#[test]
+fn at_the_limit_an_idle_connection_makes_room_and_one_in_use_does_not() {
+    with_pool(async |pool, _listener, _| {
+        let mut in_use = Vec::new();
+        for _ in 0..MAX_CONNECTIONS {
+            in_use.push(pool.checkout(ENDPOINT).await.expect("a connection"));
+        }
+        assert_eq!(pool.checkout(ENDPOINT).await.err(), Some(Outcome::NotSent));
+        let cooling = in_use.pop().expect("a connection");
+        let closed = cooling.task.id();
+        pool.release_after_response(cooling);
+        let next = pool.checkout(ENDPOINT).await.expect("a connection");
+        assert_ne!(next.task.id(), closed);
+        assert_eq!(pool.limit.get(), MAX_CONNECTIONS);
+    });
+}
+
+#[test]
+fn an_endpoint_missing_from_a_complete_list_is_forgotten_with_its_connections() {
+    with_pool(async |pool, _listener, _| {
+        let idle_connection = pool.checkout(ENDPOINT).await.expect("a connection");
+        let in_use = pool.checkout(ENDPOINT).await.expect("a connection");
+        pool.release(idle_connection);
+        pool.update(ListKind::Snapshot, &[]);
+        assert_eq!(pool.destination(&in_use), None);
+        pool.release(in_use);
+        assert_eq!(pool.checkout(ENDPOINT).await.err(), Some(Outcome::NotSent));
+        let nothing = Usage { endpoints: 0, open_connections: 0, waiting_attempts: 0, dials_in_flight: 0 };
+        assert_eq!(pool.usage(), nothing);
+    });
+}
--- a/crates/node/src/upstream/pool/waiters.rs
+++ b/crates/node/src/upstream/pool/waiters.rs
@@ -42,14 +42,17 @@
         }
     }
 
+    /// Fails all waiters.
     pub fn fail_all(&mut self, outcome: Outcome) {
         self.fail_down_to(0, outcome);
     }
 
+    /// How many wait, those that have given up since the last check included.
     pub fn len(&self) -> usize {
         self.0.len()
     }
 
+    /// Whether nobody waits.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
--- a/crates/node/src/upstream/response.rs
+++ b/crates/node/src/upstream/response.rs
@@ -127,3 +127,7 @@
     let cause = error.source().and_then(|cause| cause.downcast_ref::<io::Error>());
     cause.is_some_and(|cause| matches!(cause.kind(), ErrorKind::InvalidInput | ErrorKind::InvalidData))
 }
+
+#[cfg(test)]
+#[path = "response_tests.rs"]
+mod tests;
