--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -53,9 +53,8 @@
     let (orders, discovery_orders) = mpsc::channel(16);
     let (moves, moved) = watch::channel(config.discovery);
     let budget = memory_budget::Budget::new(config.body_bytes);
-    let pool = upstream::pool::Pool::start(clock, &config, upstream::pool::REST);
-    let upstream = upstream::attempt::Upstream::new(clock, &config, budget.clone(), pool);
-    let discovery = discovery::Discovery::new(&config, messages.clone());
+    let upstream = upstream::Upstream::start(clock, upstream_options(&config), budget.clone());
+    let discovery = discovery::Discovery::new(discovery_options(&config), messages.clone());
     let ready = discovery.ready();
     let mut node = dispatcher::Dispatcher::new(clock, &config, upstream, messages.clone(), orders);
     let front = downstream::Front::new(clock, &config, budget, messages, ready);
@@ -78,6 +77,35 @@
     }
 }
 
+/// What the upstream side is to know of the configuration.
+fn upstream_options(config: &Config) -> upstream::Options {
+    let pool = upstream::pool::Options {
+        max_connections: config.backend_connections,
+        connect_timeout: config.site.settings.limits.connect_timeout,
+        endpoint_idle_timeout: config.site.idle_close,
+        response_cooldown: upstream::pool::RESPONSE_COOLDOWN,
+    };
+    upstream::Options {
+        pool,
+        load_report_source: config.site.settings.load_reports,
+        load_report_columns: config.site.columns.clone(),
+    }
+}
+
+/// What discovery is to know of the configuration.
+fn discovery_options(config: &Config) -> discovery::Options {
+    let site = &config.site;
+    discovery::Options {
+        address: config.discovery,
+        cached_list: config.known.clone(),
+        seed: config.seed,
+        poll: site.settings.poll_endpoints,
+        drain_grace: site.settings.rules.drain_grace,
+        zone_names: site.zone_names.clone(),
+        kind_names: site.kind_names.clone(),
+    }
+}
+
 /// Reads the configuration again at each SIGHUP. Discovery's address is all that can change in a node that
 /// runs; a file that can't be used changes nothing.
 async fn reload(mut hang_up: Signal, started: Rc<Config>, moves: watch::Sender<SocketAddr>) {
--- /dev/null
+++ b/crates/node/src/upstream/attempt_tests.rs
@@ -0,0 +1,70 @@
+use super::*;
+use crate::clock::Clock;
+use crate::memory_budget::Budget;
+use crate::message::ListedEndpoint;
+use crate::upstream::load_report::LoadReportParser;
+use crate::upstream::pool::Pool;
+use crate::upstream::pool::tests::{ENDPOINT, with_pool};
+use hyper::Method;
+use hyper::header::HeaderValue;
+use ottertiller_balancer::{EndpointState, ListKind, LoadReportSource};
+use std::cell::RefCell;
+use tokio::io::AsyncReadExt;
+use tokio::task::spawn_local;
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+/// Makes an attempt after a change since it was decided on; returns its outcome and what its endpoint was sent.
+fn outcome_after(change: impl FnOnce(&Pool, &mut Attempt, ListedEndpoint, Duration)) -> (Outcome, String) {
+    with_pool(async |pool, listener, endpoint| {
+        let clock = Clock::start();
+        let now = clock.now();
+        let forward = ForwardedRequest {
+            method: Method::POST,
+            path: hyper::http::uri::PathAndQuery::from_static("/submit/1"),
+            call_id: HeaderValue::from_static("1"),
+            idempotency_key: None,
+            body: RefCell::new(Some(Bytes::new())),
+            deadline: now + MINUTE,
+            idempotency_window: Some(MINUTE),
+            first_byte: Cell::new(None),
+        };
+        let (until, forward) = (now + MINUTE, Rc::new(forward));
+        let mut attempt = Attempt { id: RequestId(1), number: 0, endpoint: ENDPOINT, until, forward };
+        change(&pool, &mut attempt, endpoint, now);
+        let (_stop, stopped) = oneshot::channel();
+        let served = spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.expect("a dial");
+            let mut sent = [0; 15];
+            let read = stream.read(&mut sent).await.unwrap_or_default();
+            String::from_utf8_lossy(&sent[..read]).into_owned()
+        });
+        let load_reports = LoadReportParser::new(LoadReportSource::None, Vec::new());
+        let upstream = Upstream { clock, budget: Budget::new(1 << 20), pool: pool.clone(), load_reports };
+        let result = Rc::new(upstream).run_attempt(attempt, stopped).await;
+        pool.close_idle(ENDPOINT);
+        (result.outcome, served.await.expect("the endpoint's part"))
+    })
+}
+
+#[test]
+fn an_attempt_that_is_still_permitted_is_written() {
+    assert_eq!(outcome_after(|_, _, _, _| {}), (Outcome::Reset, "POST /submit/1 ".to_owned()));
+}
+
+#[test]
+fn an_attempt_no_longer_permitted_once_it_has_a_connection_is_never_sent() {
+    let nothing = || (Outcome::NotSent, String::new());
+    let late = outcome_after(|_, attempt, _, now| attempt.until = now);
+    assert_eq!(late, nothing(), "its time is over");
+    let over = outcome_after(|_, attempt, _, _| attempt.forward.close());
+    assert_eq!(over, nothing(), "the request has its final answer");
+    let forgotten =
+        outcome_after(|_, attempt, _, now| attempt.forward.first_byte.set(Some(now - 2 * MINUTE)));
+    assert_eq!(forgotten, nothing(), "endpoints have forgotten the first attempt of a keyed request");
+    let drained = outcome_after(|pool, _, mut endpoint, _| {
+        endpoint.entry.state = EndpointState::Draining;
+        pool.update(ListKind::Delta, &[endpoint]);
+    });
+    assert_eq!(drained, nothing(), "the endpoint drains, though its grace is not over");
+}
