Split the tests of the node and of single decisions by concern

tests/node/ and tests/decisions/ are now one test program each, with a module for every concern; the tests of bad clients are modules of tests/node/ too.

--- /dev/null
+++ b/crates/balancer/tests/decisions/main.rs
@@ -0,0 +1,21 @@
+//! Small tests of single decisions, one module for each concern. `World` checks the four rules on the side.
+
+mod admission;
+mod client_retry;
+mod deadline;
+mod endpoint_list;
+mod health_checks;
+mod hedging;
+mod idempotency;
+mod join_up_to;
+mod late_attempts;
+mod late_events;
+mod outlier;
+mod retry;
+mod slow_start;
+mod subset;
+mod support;
+mod unusual_settings;
+
+#[path = "../world/mod.rs"]
+mod world;
--- a/crates/node/tests/sockets/mod.rs
+++ b/crates/node/tests/node/sockets/mod.rs
@@ -1,8 +1,6 @@
 //! A node under test, run as its users run it, and scripted peers round it: backends, discovery, clients.
 //! Everything waits for events; PATIENCE only ends a test that has gone wrong.
 
-#![allow(dead_code)] // each test program uses a part of it
-
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -460,3 +458,31 @@
     let number = NUMBER.fetch_add(1, Ordering::SeqCst);
     format!("X-Call-Id: {number:016x}\r\nX-Caller: acme\r\nX-Budget-Ms: {budget_ms}\r\n")
 }
+
+pub const LONG: u64 = 20_000;
+
+/// A pair of backends that share a script; it is told how many requests came before, at either.
+pub fn pair(script: impl Fn(usize) -> Reply + Send + Sync + 'static) -> (Backend, Backend) {
+    let (count, script) = (Arc::new(AtomicUsize::new(0)), Arc::new(script));
+    let start = || {
+        let (count, script) = (count.clone(), script.clone());
+        Backend::start(move |_| script(count.fetch_add(1, Ordering::SeqCst)))
+    };
+    (start(), start())
+}
+
+/// The first attempt ends as the script says, all others are served.
+pub fn first(reply: impl Fn() -> Reply + Send + Sync + 'static) -> (Backend, Backend) {
+    pair(move |before| if before == 0 { reply() } else { ok("second") })
+}
+
+/// Lets some time pass, more than a connection rests after an answer.
+pub fn rested() {
+    std::thread::sleep(Duration::from_millis(30));
+}
+
+/// Settings of a site where the list must be asked for.
+pub fn asking() -> String {
+    let asked = settings(LONG, "").replacen('{', r#"{"RegistryMode":"ask","#, 1);
+    asked.replace(r#""DrainGrace":2000"#, r#""DrainGrace":2000,"MustAskIn":1000"#)
+}
