Name the node's test scaffolding in standard terms, and split it by concern

tests/node/support/ has a module for each: ScriptedEndpoint, DiscoveryServer, NodeProcess, Client and the configurations. A received request is a struct where it was a tuple. Test names and comments say endpoint, response, in flight, disconnect and deadline. No assertion has changed.

--- a/crates/node/tests/node/endpoint_choice.rs
+++ b/crates/node/tests/node/endpoint_choice.rs
@@ -1,52 +1,67 @@
 //! Which endpoints the node uses after malformed responses, resets and load reports.
 
-use crate::sockets::*;
+use crate::support::*;
 
-/// Answers that can't be read come from any backend: were each a reason to leave its backend out, soon none
-/// would be left.
+/// Any endpoint may send a response that can't be parsed: were each a reason to eject its endpoint, soon none would
+/// be left.
 #[test]
-fn an_answer_that_makes_no_sense_does_not_shut_its_backend_out() {
+fn a_malformed_response_does_not_eject_its_endpoint() {
     let nonsense: [&'static [u8]; 4] = [
         b"\x01\xf3 no HTTP\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 0\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nfour",
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nno\r\n0\r\n\r\n",
     ];
-    // Whoever is left out stays so for the length of the test.
-    let settings = settings(LONG, "").replace("2000}", r#"2000,"TipAfter":60000}"#);
+    // An ejected endpoint stays so for the length of the test.
+    let settings = settings(LONG_MS, "").replace("2000}", r#"2000,"TipAfter":60000}"#);
     for bytes in nonsense {
-        let (one, two) = first(move || Reply::Raw(bytes));
-        let (node, _watch, _discovery) = serving(&settings, &[&one, &two]);
+        let (one, two) = endpoint_pair_with_first_reply(move || ScriptedReply::Raw(bytes));
+        let (node, _watch, _discovery) = start_node(&settings, &[&one, &two]);
         let mut client = node.client();
-        (0..20).for_each(|_| assert_eq!(client.read().body, b"second"));
-        assert!(one.count() >= 5 && two.count() >= 5, "{} and {}", one.count(), two.count());
+        (0..20).for_each(|_| assert_eq!(client.request_read().body, b"second"));
+        assert!(
+            one.request_count() >= 5 && two.request_count() >= 5,
+            "{} and {}",
+            one.request_count(),
+            two.request_count()
+        );
     }
 }
 
-/// Connections break under requests at sound backends too. Who can't be reached at all is another matter.
+/// Healthy endpoints have connection resets too. An unreachable endpoint is another matter.
 #[test]
-fn a_connection_that_breaks_under_a_request_does_not_shut_its_backend_out() {
-    let settings = settings(LONG, "").replace("2000}", r#"2000,"TipAfter":60000}"#);
-    let (one, two) = first(|| Reply::Break(vec![]));
-    let (node, _watch, _discovery) = serving(&settings, &[&one, &two]);
+fn a_connection_reset_during_a_request_does_not_eject_its_endpoint() {
+    let settings = settings(LONG_MS, "").replace("2000}", r#"2000,"TipAfter":60000}"#);
+    let (one, two) = endpoint_pair_with_first_reply(|| ScriptedReply::CloseAfter(vec![]));
+    let (node, _watch, _discovery) = start_node(&settings, &[&one, &two]);
     let mut client = node.client();
-    (0..20).for_each(|_| assert_eq!(client.read().body, b"second"));
-    assert!(one.count() >= 5 && two.count() >= 5, "{} and {}", one.count(), two.count());
+    (0..20).for_each(|_| assert_eq!(client.request_read().body, b"second"));
+    assert!(
+        one.request_count() >= 5 && two.request_count() >= 5,
+        "{} and {}",
+        one.request_count(),
+        two.request_count()
+    );
 }
 
 /// Reports name their fields as the settings do, or as the protocol does. A node that reads none of them sends
-/// as much to who is crowded as to who is idle.
+/// as much to a crowded endpoint as to an idle one.
 #[test]
-fn who_reports_that_it_is_idle_is_joined() {
+fn an_endpoint_that_reports_idle_is_joined() {
     for (idle, crowded) in [
         ("X-Load-Report: concurrent=0,depth=0\r\n", "X-Load-Report: concurrent=9.970,depth=5.012\r\n"),
         ("X-Load-Report: inflight=0,queue=0\r\n", "X-Load-Report: inflight=10,queue=5\r\n"),
     ] {
-        let idle = Backend::start(move |_| Reply::Answer("200 OK", idle, vec![]));
-        let crowded = Backend::start(move |_| Reply::Answer("200 OK", crowded, vec![]));
-        let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&idle, &crowded]);
+        let idle = ScriptedEndpoint::start(move |_| ScriptedReply::Response("200 OK", idle, vec![]));
+        let crowded = ScriptedEndpoint::start(move |_| ScriptedReply::Response("200 OK", crowded, vec![]));
+        let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&idle, &crowded]);
         let mut client = node.client();
-        (0..60).for_each(|_| assert_eq!(client.read().status(), 200));
-        assert!(idle.count() > 2 * crowded.count(), "{} and {}", idle.count(), crowded.count());
+        (0..60).for_each(|_| assert_eq!(client.request_read().status(), 200));
+        assert!(
+            idle.request_count() > 2 * crowded.request_count(),
+            "{} and {}",
+            idle.request_count(),
+            crowded.request_count()
+        );
     }
 }
--- a/crates/node/tests/node/forwarding.rs
+++ b/crates/node/tests/node/forwarding.rs
@@ -1,22 +1,22 @@
 //! Requests forwarded to endpoints: what is passed on, what is retried, and what ends an attempt.
 
-use crate::sockets::*;
+use crate::support::*;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 #[test]
-fn a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged() {
-    let backend = Backend::start(|_| {
-        Reply::Answer("200 OK", "X-Load-Report: inflight=1,queue=0\r\n", vec![0, 255, 10])
+fn requests_and_responses_are_forwarded_unchanged() {
+    let endpoint = ScriptedEndpoint::start(|_| {
+        ScriptedReply::Response("200 OK", "X-Load-Report: inflight=1,queue=0\r\n", vec![0, 255, 10])
     });
-    let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&backend]);
-    let headers = format!("{}Idempotency-Key: 5c0f6e\r\n", common(5000));
-    let answer = node.client().ask("POST /submit/7f3a?x=1%202", &headers, b"body\0");
-    assert_eq!((answer.status(), answer.body), (200, vec![0, 255, 10]));
-    let (_, seen) = backend.request();
-    assert_eq!(seen.start, "POST /submit/7f3a?x=1%202 HTTP/1.1");
+    let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&endpoint]);
+    let headers = format!("{}Idempotency-Key: 5c0f6e\r\n", common_headers(5000));
+    let response = node.client().request("POST /submit/7f3a?x=1%202", &headers, b"body\0");
+    assert_eq!((response.status(), response.body), (200, vec![0, 255, 10]));
+    let seen = endpoint.next_request().message;
+    assert_eq!(seen.start_line, "POST /submit/7f3a?x=1%202 HTTP/1.1");
     assert_eq!((seen.body.as_slice(), seen.header("idempotency-key")), (&b"body\0"[..], Some("5c0f6e")));
     assert!(headers.contains(seen.header("x-call-id").expect("an id")));
     let budget: u64 = seen.header("x-budget-ms").expect("a budget").parse().expect("a number");
@@ -24,90 +24,96 @@
 }
 
 #[test]
-fn what_may_have_run_is_sent_again_only_if_that_is_safe() {
-    let endings: [fn() -> Reply; 6] = [
-        || Reply::Answer("500 Oops", "", vec![]),
-        // Without X-Rejected nothing is promised.
-        || Reply::Answer("503 Busy", "", vec![]),
-        || Reply::Break(vec![]),
-        || Reply::Break(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_vec()),
-        || Reply::Break(b"no HTTP at all\r\n\r\n".to_vec()),
-        || Reply::Answer("200 OK", "", vec![b'x'; 64 * 1024 + 1]),
+fn a_request_that_may_have_run_is_retried_only_if_it_is_idempotent() {
+    let endings: [fn() -> ScriptedReply; 6] = [
+        || ScriptedReply::Response("500 Oops", "", vec![]),
+        // Without X-Rejected it may have run.
+        || ScriptedReply::Response("503 Busy", "", vec![]),
+        || ScriptedReply::CloseAfter(vec![]),
+        || ScriptedReply::CloseAfter(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_vec()),
+        || ScriptedReply::CloseAfter(b"no HTTP at all\r\n\r\n".to_vec()),
+        || ScriptedReply::Response("200 OK", "", vec![b'x'; 64 * 1024 + 1]),
     ];
     for (i, ending) in endings.into_iter().enumerate() {
-        let (one, two) = first(ending);
-        let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&one, &two]);
-        let answer = node.client().correct();
-        assert!(![200, 429, 503].contains(&answer.status()), "case {i}: {answer:?}");
-        assert_eq!(one.count() + two.count(), 1, "case {i}");
+        let (one, two) = endpoint_pair_with_first_reply(ending);
+        let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&one, &two]);
+        let response = node.client().request_correct();
+        assert!(![200, 429, 503].contains(&response.status()), "case {i}: {response:?}");
+        assert_eq!(one.request_count() + two.request_count(), 1, "case {i}");
 
-        let (one, two) = first(ending);
-        let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&one, &two]);
-        assert_eq!(node.client().read().body, b"second", "case {i}");
+        let (one, two) = endpoint_pair_with_first_reply(ending);
+        let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&one, &two]);
+        assert_eq!(node.client().request_read().body, b"second", "case {i}");
     }
 }
 
 #[test]
-fn what_never_ran_is_sent_again_even_if_it_must_not_run_twice() {
+fn a_request_that_never_ran_is_retried_even_if_it_is_not_idempotent() {
     for status in ["503 Full", "504 Over"] {
-        let (one, two) = first(move || Reply::Answer(status, "X-Rejected: 1\r\n", vec![]));
-        let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&one, &two]);
-        assert_eq!(node.client().correct().body, b"second", "{status}");
+        let (one, two) = endpoint_pair_with_first_reply(move || {
+            ScriptedReply::Response(status, "X-Rejected: 1\r\n", vec![])
+        });
+        let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&one, &two]);
+        assert_eq!(node.client().request_correct().body, b"second", "{status}");
     }
-    // A backend that refuses connections.
+    // An endpoint that refuses connections.
     let gone = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
-    let backend = Backend::start(|_| ok("here"));
-    let (node, mut watch, _discovery) = serving(&settings(LONG, ""), &[]);
-    watch.line(&list(
+    let endpoint = ScriptedEndpoint::start(|_| ok("here"));
+    let (node, mut watch, _discovery) = start_node(&settings(LONG_MS, ""), &[]);
+    watch.send_line(&list(
         9,
         true,
-        &[entry("s-0", gone, "in_service"), entry("s-1", backend.address, "in_service")],
+        &[entry("s-0", gone, "in_service"), entry("s-1", endpoint.address, "in_service")],
     ));
     for _ in 0..8 {
-        assert_eq!(node.client().correct().body, b"here");
+        assert_eq!(node.client().request_correct().body, b"here");
     }
 }
 
 #[test]
-fn a_refusal_says_when_to_come_back() {
-    let backend = Backend::start(|_| Reply::Answer("503 Full", "X-Rejected: 1\r\n", vec![]));
-    let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&backend]);
-    let answer = node.client().correct();
-    assert_eq!(answer.status(), 503);
-    assert_eq!(answer.header("retry-after"), Some("1.500"));
+fn a_shed_request_is_told_when_to_retry() {
+    let endpoint =
+        ScriptedEndpoint::start(|_| ScriptedReply::Response("503 Full", "X-Rejected: 1\r\n", vec![]));
+    let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&endpoint]);
+    let response = node.client().request_correct();
+    assert_eq!(response.status(), 503);
+    assert_eq!(response.header("retry-after"), Some("1.500"));
 }
 
 #[test]
-fn an_attempt_without_an_answer_ends_in_time_and_closes_its_connection() {
-    let backend = Backend::start(|_| Reply::Silence);
-    let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&backend]);
+fn an_attempt_without_a_response_times_out_and_closes_its_connection() {
+    let endpoint = ScriptedEndpoint::start(|_| ScriptedReply::NoResponse);
+    let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&endpoint]);
     let mut client = node.client();
     let asked = Instant::now();
-    let answer = client.ask("POST /correct/1", &common(600), b"sheet");
+    let response = client.request("POST /correct/1", &common_headers(600), b"sheet");
     assert!(asked.elapsed() >= Duration::from_millis(300), "it was waited for");
-    // It may still run: to refuse it would promise that it never did.
-    assert!(![200, 429, 503].contains(&answer.status()), "{answer:?}");
-    backend.closed();
+    // It may still run: to shed it would promise that it never did.
+    assert!(![200, 429, 503].contains(&response.status()), "{response:?}");
+    endpoint.next_closed();
 }
 
 #[test]
-fn a_silent_attempt_is_followed_by_a_copy_and_closed_when_that_is_answered() {
+fn an_attempt_without_a_response_is_hedged_and_cancelled_when_the_other_is_served() {
     let silent = Arc::new(AtomicBool::new(false));
     let start = || {
         let silent = silent.clone();
-        Backend::start(
-            move |m| if silent.swap(false, Ordering::SeqCst) { Reply::Silence } else { ok(&m.start) },
-        )
+        ScriptedEndpoint::start(move |m| {
+            if silent.swap(false, Ordering::SeqCst) { ScriptedReply::NoResponse } else { ok(&m.start_line) }
+        })
     };
     let (one, two) = (start(), start());
-    let (node, _watch, _discovery) = serving(&settings(4000, r#","ParallelTries":true"#), &[&one, &two]);
-    // Answers first show how fast they come, and so how long an attempt may be silent.
+    let (node, _watch, _discovery) = start_node(&settings(4000, r#","ParallelTries":true"#), &[&one, &two]);
+    // From the first responses the node learns how long an attempt may take before it is hedged.
     let mut client = node.client();
-    (0..150).for_each(|_| assert_eq!(client.read().status(), 200));
-    let before = one.count() + two.count();
-    let _ = (one.has_closed(), two.has_closed()); // a slow machine's first answers may have had copies too
+    (0..150).for_each(|_| assert_eq!(client.request_read().status(), 200));
+    let before = one.request_count() + two.request_count();
+    let _ = (one.has_closed_connection(), two.has_closed_connection()); // on a slow machine the first requests may have been hedged too
     silent.store(true, Ordering::SeqCst);
-    assert_eq!(client.read().status(), 200);
-    assert!(one.count() + two.count() >= before + 2);
-    until(|| one.has_closed() || two.has_closed(), "the end of the silent attempt's connection");
+    assert_eq!(client.request_read().status(), 200);
+    assert!(one.request_count() + two.request_count() >= before + 2);
+    wait_until(
+        || one.has_closed_connection() || two.has_closed_connection(),
+        "the close of the cancelled attempt's connection",
+    );
 }
--- a/crates/node/tests/node/limits.rs
+++ b/crates/node/tests/node/limits.rs
@@ -1,111 +1,118 @@
 //! The limits of descriptors and memory.
 
-use crate::sockets::*;
+use crate::support::*;
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 
 #[test]
 fn idle_clients_make_room_for_new_ones() {
-    let backend = Backend::start(|_| ok(""));
-    // 52 descriptors, 48 of them spared: two connections for each side.
-    let (node, _watch, _discovery) = serving_with(&settings(LONG, ""), &[&backend], 52, "");
+    let endpoint = ScriptedEndpoint::start(|_| ok(""));
+    // 52 descriptors, 48 of them reserved: two connections for each side.
+    let (node, _watch, _discovery) =
+        start_node_with_descriptors(&settings(LONG_MS, ""), &[&endpoint], 52, "");
     let mut clients = Vec::new();
     for _ in 0..20 {
         let mut client = node.client();
-        assert_eq!(client.read().status(), 200);
+        assert_eq!(client.request_read().status(), 200);
         clients.push(client);
     }
-    assert!(clients[0].ended());
+    assert!(clients[0].is_closed());
 }
 
 #[test]
-fn who_waits_to_come_in_takes_the_place_of_the_first_to_fall_idle() {
-    let (go, gate) = channel::<()>();
+fn a_waiting_client_takes_the_place_of_the_first_that_falls_idle() {
+    let (release, gate) = channel::<()>();
     let gate = Arc::new(Mutex::new(gate));
-    let backends = [0, 1].map(|_| {
+    let endpoints = [0, 1].map(|_| {
         let gate = gate.clone();
-        Backend::start(move |message| {
-            if message.start.contains("/correct/") {
-                let _ = gate.lock().expect("the gate").recv_timeout(PATIENCE);
+        ScriptedEndpoint::start(move |message| {
+            if message.start_line.contains("/correct/") {
+                let _ = gate.lock().expect("the gate").recv_timeout(TEST_TIMEOUT);
             }
             ok("")
         })
     });
-    let (node, _watch, _discovery) = serving_with(&settings(LONG, ""), &backends.each_ref(), 52, "");
+    let (node, _watch, _discovery) =
+        start_node_with_descriptors(&settings(LONG_MS, ""), &endpoints.each_ref(), 52, "");
     let mut busy = [node.client(), node.client()];
     busy.iter_mut().for_each(Client::send_correct);
-    until(|| backends.iter().map(Backend::count).sum::<usize>() == 2, "both requests at backends");
+    wait_until(
+        || endpoints.iter().map(ScriptedEndpoint::request_count).sum::<usize>() == 2,
+        "both requests at endpoints",
+    );
     let mut waiting = node.client();
     waiting.send("GET /health/ready", "", b"");
-    // The first answer frees no connection, it only leaves one idle.
-    go.send(()).expect("a backend waits");
-    assert_eq!(waiting.answer().expect("an answer").status(), 200);
-    go.send(()).expect("the other waits");
+    // The first response frees no connection, it only leaves one idle.
+    release.send(()).expect("an endpoint waits");
+    assert_eq!(waiting.receive().expect("a response").status(), 200);
+    release.send(()).expect("the other waits");
     for client in &mut busy {
-        assert_eq!(client.answer().expect("an answer").status(), 200);
+        assert_eq!(client.receive().expect("a response").status(), 200);
     }
 }
 
 #[test]
 fn a_node_out_of_descriptors_serves_on_when_some_are_free_again() {
-    let backend = Backend::start(|_| ok(""));
+    let endpoint = ScriptedEndpoint::start(|_| ok(""));
     // So few that not even what the node keeps for itself is left.
-    let (node, _watch, _discovery) = serving_with(&settings(LONG, ""), &[&backend], 1024, "ulimit -n 14; ");
+    let (node, _watch, _discovery) =
+        start_node_with_descriptors(&settings(LONG_MS, ""), &[&endpoint], 1024, "ulimit -n 14; ");
     let crowd: Vec<Client> = (0..60).map(|_| node.client()).collect();
-    node.logged("cannot accept");
+    node.wait_for_log("cannot accept");
     drop(crowd);
-    until(|| node.client().read().status() == 200, "service after the crowd");
+    wait_until(|| node.client().request_read().status() == 200, "service after the crowd");
 }
 
 /// The system allows fewer descriptors than the configuration, and clients that say nothing stay for good.
 #[test]
-fn idle_clients_leave_descriptors_for_discovery_backends_and_new_clients() {
-    let (old, new) = (Backend::start(|_| ok("old")), Backend::start(|_| ok("new")));
+fn idle_clients_leave_descriptors_for_discovery_endpoints_and_new_clients() {
+    let (old, new) = (ScriptedEndpoint::start(|_| ok("old")), ScriptedEndpoint::start(|_| ok("new")));
     let shell = "ulimit -n 40; ";
-    let (node, watch, discovery) = serving_with(&settings(LONG, ""), &[&old], 1024, shell);
-    assert_eq!(node.client().read().body, b"old");
+    let (node, watch, discovery) = start_node_with_descriptors(&settings(LONG_MS, ""), &[&old], 1024, shell);
+    assert_eq!(node.client().request_read().body, b"old");
     // Discovery goes down, and while it is, more idle clients come than there are descriptors.
     drop(watch);
-    let mut down = discovery.call();
+    let mut down = discovery.next_call();
     let crowd: Vec<Client> = (0..120).map(|_| node.client()).collect();
-    assert!(node.is_ready(), "a client that comes behind the crowd is heard");
+    assert!(node.is_ready(), "a client that comes behind the crowd is served");
     down.write("HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n");
     drop(down);
-    // Both its way back and the connection to a backend that is new take a descriptor.
-    let mut watch = discovery.call();
-    watch.open();
-    watch.line(&list(9, true, &[entry("s-1", new.address, "in_service")]));
-    until(|| node.client().read().body == b"new", "an answer from the new backend");
+    // Both the next call to discovery and the connection to an endpoint that is new take a descriptor.
+    let mut watch = discovery.next_call();
+    watch.start_stream();
+    watch.send_line(&list(9, true, &[entry("s-1", new.address, "in_service")]));
+    wait_until(|| node.client().request_read().body == b"new", "a response from the new endpoint");
     assert!(node.is_ready());
-    assert_eq!(node.count_logged("cannot accept"), 0);
+    assert_eq!(node.count_log_lines("cannot accept"), 0);
     drop(crowd);
 }
 
 #[test]
-fn bodies_take_no_more_memory_than_there_is_for_them() {
-    let backend = Backend::start(|_| ok(""));
+fn bodies_take_no_more_than_their_memory_budget() {
+    let endpoint = ScriptedEndpoint::start(|_| ok(""));
     // 10 MB leave room for 32 clients, and for 16 bodies of the longest.
-    let (node, _watch, _discovery) = serving_within(&settings(LONG, ""), &[&backend], r#""memory_mb":10"#);
-    let half = |node: &Node| {
+    let (node, _watch, _discovery) =
+        start_node_with_limits(&settings(LONG_MS, ""), &[&endpoint], r#""memory_mb":10"#);
+    let half = |node: &NodeProcess| {
         let mut client = node.client();
         let head = "POST /correct/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 65536\r\n";
-        client.write(format!("{head}{}\r\nhalf", common(5000)).as_bytes());
+        client.write(format!("{head}{}\r\nhalf", common_headers(5000)).as_bytes());
         client
     };
     let mut halves: Vec<Client> = (0..17).map(|_| half(&node)).collect();
-    let mut answers = halves.iter_mut().map(|client| client.answer().expect("an answer"));
-    let refused = answers.by_ref().find(|answer| answer.status() != 408).expect("one without room");
-    assert_eq!((refused.status(), refused.header("retry-after")), (503, Some("1.500")));
-    assert!(answers.all(|answer| answer.status() == 408));
+    let mut responses = halves.iter_mut().map(|client| client.receive().expect("a response"));
+    let shed = responses.by_ref().find(|response| response.status() != 408).expect("one without room");
+    assert_eq!((shed.status(), shed.header("retry-after")), (503, Some("1.500")));
+    assert!(responses.all(|response| response.status() == 408));
     // The room is free again.
-    assert_eq!(node.client().ask("POST /correct/1", &common(5000), &[b'x'; 65536]).status(), 200);
+    assert_eq!(node.client().request("POST /correct/1", &common_headers(5000), &[b'x'; 65536]).status(), 200);
 }
 
-/// A day brings ever new connections, ids, keys and backends, most of these at the addresses of gone ones.
+/// A day brings ever new connections, ids, keys and endpoints, most of these at the addresses of removed ones.
 #[test]
-fn thousands_of_all_that_comes_and_goes_leave_nothing_behind() {
-    let backend = Backend::start(|_| ok(""));
-    let (node, mut watch, _discovery) = serving(&settings(600_000, ""), &[&backend]);
+fn memory_does_not_grow_with_requests_connections_and_endpoints_that_have_gone() {
+    let endpoint = ScriptedEndpoint::start(|_| ok(""));
+    let (node, mut watch, _discovery) = start_node(&settings(600_000, ""), &[&endpoint]);
     let mut client = node.client();
     let mut number = 0;
     let mut round = |requests: usize| {
@@ -116,13 +123,16 @@
             if i % 8 == 0 {
                 let (old, new) = (format!("s-{number}"), format!("s-{}", number + 1));
                 number += 1;
-                let changes =
-                    [entry(&new, backend.address, "in_service"), entry(&old, backend.address, "terminated")];
-                watch.line(&list(9 + number, false, &changes));
+                let changes = [
+                    entry(&new, endpoint.address, "in_service"),
+                    entry(&old, endpoint.address, "terminated"),
+                ];
+                watch.send_line(&list(9 + number, false, &changes));
             }
-            // Who says that it waits for ten minutes leaves nothing for ten minutes.
-            let answer = client.ask(&format!("POST /correct/{number}{i}"), &common(600_000), b"sheet");
-            assert_eq!(answer.status(), 200);
+            // A request with a deadline in ten minutes leaves nothing behind for ten minutes.
+            let response =
+                client.request(&format!("POST /correct/{number}{i}"), &common_headers(600_000), b"sheet");
+            assert_eq!(response.status(), 200);
         }
         node.memory_kb()
     };
--- a/crates/node/tests/node/logging.rs
+++ b/crates/node/tests/node/logging.rs
@@ -1,24 +1,26 @@
 //! The log: never a reason to block, and bounded whatever peers do.
 
-use crate::sockets::*;
+use crate::support::*;
 use std::time::Instant;
 
 #[test]
-fn nobody_reading_the_log_stops_nothing() {
-    let backend = Backend::start(|_| ok(""));
-    let (mut node, _watch, _discovery) = serving_unread(&settings(LONG, ""), &[&backend]);
-    assert_eq!(node.client().read().status(), 200);
+fn a_log_that_nobody_reads_blocks_nothing() {
+    let endpoint = ScriptedEndpoint::start(|_| ok(""));
+    let (mut node, _watch, _discovery) = start_node_without_log_reader(&settings(LONG_MS, ""), &[&endpoint]);
+    assert_eq!(node.client().request_read().status(), 200);
     node.terminate();
-    assert_eq!(node.exit().code(), Some(0));
+    assert_eq!(node.wait_for_exit().code(), Some(0));
 }
 
 #[test]
-fn what_peers_do_wrong_fills_no_log() {
-    let backend = Backend::start(|_| Reply::Answer("200 OK", "X-Load-Report: inflight=many\r\n", vec![]));
-    let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&backend]);
+fn errors_of_peers_do_not_flood_the_log() {
+    let endpoint = ScriptedEndpoint::start(|_| {
+        ScriptedReply::Response("200 OK", "X-Load-Report: inflight=many\r\n", vec![])
+    });
+    let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&endpoint]);
     let (mut client, start) = (node.client(), Instant::now());
-    (0..500).for_each(|_| assert_eq!(client.read().status(), 200));
-    let lines = node.count_logged("malformed load report");
+    (0..500).for_each(|_| assert_eq!(client.request_read().status(), 200));
+    let lines = node.count_log_lines("malformed load report");
     let most = 10 * (start.elapsed().as_secs() as usize + 2);
     assert!((1..=most).contains(&lines), "{lines} lines, {most} at most");
 }
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -11,4 +11,4 @@
 mod reload;
 mod shutdown;
 mod slow_clients;
-mod sockets;
+mod support;
--- a/crates/node/tests/node/slow_clients.rs
+++ b/crates/node/tests/node/slow_clients.rs
@@ -1,6 +1,6 @@
 //! Clients that send no whole request, beside clients that do.
 
-use crate::sockets::*;
+use crate::support::*;
 use std::time::{Duration, Instant};
 
 /// A head of 500 bytes or so, and no end of it.
@@ -9,35 +9,35 @@
 const HALF_BODY: &str = "POST /correct/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 5\r\n";
 
 #[test]
-fn who_sends_no_whole_request_is_closed_in_time_and_idle_clients_are_not() {
-    let backend = Backend::start(|_| ok(""));
-    let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&backend]);
+fn an_incomplete_request_times_out_and_an_idle_connection_does_not() {
+    let endpoint = ScriptedEndpoint::start(|_| ok(""));
+    let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&endpoint]);
     let mut idle = node.client();
-    assert_eq!(idle.read().status(), 200);
+    assert_eq!(idle.request_read().status(), 200);
     let mut later = node.client();
-    assert_eq!(later.read().status(), 200);
+    assert_eq!(later.request_read().status(), 200);
     let connected = Instant::now();
     let (mut silent, mut head, mut body) = (node.client(), node.client(), node.client());
     head.write(HALF_HEAD.as_bytes());
-    body.write(format!("{HALF_BODY}{}\r\nhal", common(5000)).as_bytes());
+    body.write(format!("{HALF_BODY}{}\r\nhal", common_headers(5000)).as_bytes());
     later.write(HALF_HEAD.as_bytes());
-    assert!(silent.ended() && head.ended() && later.ended());
-    // Whose head was whole is told why.
-    assert_eq!(body.answer().map(|answer| answer.status()), Some(408));
-    assert!(body.ended());
-    // 3 s are what is owed; the rest is for a slow machine.
+    assert!(silent.is_closed() && head.is_closed() && later.is_closed());
+    // A client whose head was complete gets a reason.
+    assert_eq!(body.receive().map(|response| response.status()), Some(408));
+    assert!(body.is_closed());
+    // The limit is 3 s; the rest is for a slow machine.
     assert!(connected.elapsed() < Duration::from_secs(10), "{:?}", connected.elapsed());
-    assert_eq!(idle.read().status(), 200);
-    assert_eq!(backend.count(), 3);
+    assert_eq!(idle.request_read().status(), 200);
+    assert_eq!(endpoint.request_count(), 3);
 }
 
-/// The node is held up for longer than a client may take; the client was in time.
+/// The process is stopped for longer than a client may take; the client was in time.
 #[test]
-fn a_request_that_came_while_the_node_was_held_up_is_served() {
-    let backend = Backend::start(|_| ok(""));
-    let (node, _watch, _discovery) = serving(&settings(LONG, ""), &[&backend]);
+fn a_request_that_arrived_while_the_node_was_stopped_is_answered() {
+    let endpoint = ScriptedEndpoint::start(|_| ok(""));
+    let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&endpoint]);
     let mut clients: Vec<Client> = (0..20).map(|_| node.client()).collect();
-    let head = |_: &Client| format!("POST /correct/1 HTTP/1.1\r\nHost: s\r\n{}", common(LONG));
+    let head = |_: &Client| format!("POST /correct/1 HTTP/1.1\r\nHost: s\r\n{}", common_headers(LONG_MS));
     let heads: Vec<String> = clients.iter().map(head).collect();
     clients.iter_mut().zip(&heads).for_each(|(client, head)| client.write(head.as_bytes()));
     assert!(node.is_ready(), "it has had a turn");
@@ -46,19 +46,21 @@
     std::thread::sleep(Duration::from_millis(2500));
     node.signal("-CONT");
     for client in &mut clients {
-        assert!(client.answer().is_some(), "an answer, whatever it says");
+        assert!(client.receive().is_some(), "a response, whatever its status");
     }
 }
 
 #[test]
-fn a_crowd_that_says_nothing_takes_no_place_from_who_is_served() {
-    let backend = Backend::start(|_| ok(""));
+fn silent_clients_take_no_place_from_clients_that_are_served() {
+    let endpoint = ScriptedEndpoint::start(|_| ok(""));
     // Room for six clients.
-    let (node, _watch, _discovery) = serving_with(&settings(LONG, ""), &[&backend], 60, "");
+    let (node, _watch, _discovery) =
+        start_node_with_descriptors(&settings(LONG_MS, ""), &[&endpoint], 60, "");
     let mut good = [node.client(), node.client()];
-    good.iter_mut().for_each(|client| assert_eq!(client.read().status(), 200));
+    good.iter_mut().for_each(|client| assert_eq!(client.request_read().status(), 200));
     let crowd: Vec<Client> = (0..100).map(|_| node.client()).collect();
-    assert_eq!(node.client().read().status(), 200, "a new one among the crowd");
-    good.iter_mut().for_each(|client| assert_eq!(client.read().status(), 200, "who was there before"));
+    assert_eq!(node.client().request_read().status(), 200, "a new one among the crowd");
+    good.iter_mut()
+        .for_each(|client| assert_eq!(client.request_read().status(), 200, "a client that was there before"));
     drop(crowd);
 }
