Split the simulator adapter's wire by direction, with typed errors and named codes

Errors were strings put together where they arose, codes were bare numbers, a record was a tuple, and one file both decoded batches and encoded replies.

AdapterError, BatchError and RecordError name the batch, the record, the field and the cause. Fields are read in the order in which they stand, not by offsets. Messages of errors say list kind and endpoint state, and which field points outside the tail; the tests expect these words.

--- /dev/null
+++ b/crates/simulator-adapter/src/wire/codes.rs
@@ -0,0 +1,90 @@
+//! The codes of the protocol.
+
+use crate::error::RecordError;
+use ottertiller_balancer::{EndpointState, ListKind, Outcome};
+
+/// The first byte of an event record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EventCode {
+    Start = 1,
+    EndpointList = 2,
+    Request = 3,
+    StreamStarted = 4,
+    AttemptEnded = 5,
+    ClientDisconnected = 6,
+    Timer = 7,
+    HealthChecked = 8,
+    PeerMessage = 9,
+    Stop = 10,
+}
+
+/// The first byte of an action record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ActionCode {
+    Fail = 65,
+    HealthCheck = 66,
+    Log = 67,
+    SetTimer = 68,
+    CancelAttempt = 69,
+    Subscribe = 70,
+    /// The decisions of the instance panicked.
+    Fault = 71,
+    FetchEndpointList = 72,
+    SendToPeer = 73,
+    CloseIdleConnections = 74,
+    Shed = 75,
+    StartAttempt = 76,
+}
+
+impl TryFrom<u8> for EventCode {
+    type Error = RecordError;
+
+    fn try_from(code: u8) -> Result<Self, RecordError> {
+        Ok(match code {
+            1 => EventCode::Start,
+            2 => EventCode::EndpointList,
+            3 => EventCode::Request,
+            4 => EventCode::StreamStarted,
+            5 => EventCode::AttemptEnded,
+            6 => EventCode::ClientDisconnected,
+            7 => EventCode::Timer,
+            8 => EventCode::HealthChecked,
+            9 => EventCode::PeerMessage,
+            10 => EventCode::Stop,
+            _ => return Err(RecordError::UnknownEventCode(code)),
+        })
+    }
+}
+
+pub fn list_kind(code: u8) -> Result<ListKind, RecordError> {
+    match code {
+        0 => Ok(ListKind::Delta),
+        1 => Ok(ListKind::Snapshot),
+        2 => Ok(ListKind::Cached),
+        3 => Ok(ListKind::Failed),
+        _ => Err(RecordError::UnknownListKind(code)),
+    }
+}
+
+pub fn outcome(code: u8) -> Result<Outcome, RecordError> {
+    match code {
+        0 => Ok(Outcome::Error),
+        1 => Ok(Outcome::Served),
+        2 => Ok(Outcome::Rejected),
+        3 => Ok(Outcome::TimedOut),
+        4 => Ok(Outcome::ConnectFailed),
+        5 => Ok(Outcome::Reset),
+        6 => Ok(Outcome::Cancelled),
+        7 => Ok(Outcome::NotSent),
+        _ => Err(RecordError::UnknownOutcome(code)),
+    }
+}
+
+pub fn endpoint_state(code: u8) -> Result<EndpointState, RecordError> {
+    match code {
+        0 => Ok(EndpointState::Removed),
+        1 => Ok(EndpointState::Draining),
+        2 => Ok(EndpointState::Ready),
+        _ => Err(RecordError::UnknownEndpointState(code)),
+    }
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/wire/record.rs
@@ -0,0 +1,202 @@
+//! Decoding the records of a batch.
+
+use super::ENTRY_SIZE;
+use super::codes::{EventCode, endpoint_state, list_kind, outcome};
+use super::fields::FieldReader;
+use crate::error::RecordError;
+use ottertiller_balancer::settings::{Column, millis};
+use ottertiller_balancer::{
+    AttemptEnd, EndpointEntry, Event, HealthCheckEnd, LoadReport, NewRequest, RequestId,
+};
+
+/// Flags of a request.
+const HAS_COST_HINT: u8 = 1;
+const IS_CLIENT_RETRY: u8 = 2;
+
+/// How many values a load report has at most.
+const REPORT_VALUES: usize = 4;
+
+/// A record of a batch.
+#[derive(Debug, PartialEq)]
+pub struct Record {
+    /// The instance that it is for.
+    pub instance: u16,
+    pub input: Input,
+}
+
+/// What a record says.
+#[derive(Debug, PartialEq)]
+pub enum Input {
+    /// The instance starts, with a seed and the text of its settings.
+    Start { seed: u64, settings: Vec<u8> },
+    /// The instance has been killed.
+    Stop,
+    /// Something for its decisions. The report, if any, still needs the columns of the instance.
+    Event { event: Event, report: Option<RawLoadReport> },
+}
+
+/// A load report whose values have no names yet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RawLoadReport {
+    values: [f32; REPORT_VALUES],
+    count: usize,
+}
+
+impl RawLoadReport {
+    /// Gives the values the names of the instance's columns.
+    pub fn named(&self, columns: &[Column]) -> LoadReport {
+        let mut report = LoadReport::default();
+        for (column, value) in columns.iter().zip(&self.values[..self.count]) {
+            column.set(&mut report, *value);
+        }
+        report
+    }
+
+    fn decode(fields: &mut FieldReader) -> Result<Option<Self>, RecordError> {
+        let count = usize::from(fields.u8());
+        if count > REPORT_VALUES {
+            return Err(RecordError::TooManyReportValues(count));
+        }
+        let values = std::array::from_fn(|_| fields.f32());
+        Ok((count > 0).then_some(RawLoadReport { values, count }))
+    }
+}
+
+impl Record {
+    /// Decodes a record, which may point into the tail of its batch.
+    pub fn decode(record: &[u8], tail: &[u8]) -> Result<Self, RecordError> {
+        let mut fields = FieldReader::new(record);
+        let code = fields.u8();
+        let instance = fields.u16();
+        let input = Input::decode(EventCode::try_from(code)?, &mut fields, tail)?;
+        Ok(Record { instance, input })
+    }
+}
+
+impl Input {
+    fn decode(code: EventCode, fields: &mut FieldReader, tail: &[u8]) -> Result<Self, RecordError> {
+        match code {
+            EventCode::Start => {
+                let seed = fields.u64();
+                let settings = bytes_in_tail("settings", fields, tail)?;
+                Ok(Input::Start { seed, settings })
+            }
+            EventCode::Stop => Ok(Input::Stop),
+            EventCode::EndpointList => endpoint_list(fields, tail).map(Input::without_report),
+            EventCode::Request => Ok(Input::without_report(request(fields))),
+            EventCode::StreamStarted => Ok(Input::without_report(stream_started(fields))),
+            EventCode::AttemptEnded => attempt_ended(fields),
+            EventCode::ClientDisconnected => {
+                Ok(Input::without_report(Event::ClientDisconnected { id: RequestId(fields.u64()) }))
+            }
+            EventCode::Timer => Ok(Input::without_report(Event::Timer { token: fields.u64() })),
+            EventCode::HealthChecked => health_checked(fields),
+            EventCode::PeerMessage => {
+                let from = fields.u32();
+                let data = bytes_in_tail("peer message", fields, tail)?;
+                Ok(Input::without_report(Event::PeerMessage { from, data }))
+            }
+        }
+    }
+
+    fn without_report(event: Event) -> Self {
+        Input::Event { event, report: None }
+    }
+}
+
+fn endpoint_list(fields: &mut FieldReader, tail: &[u8]) -> Result<Event, RecordError> {
+    let kind = list_kind(fields.u8())?;
+    fields.skip::<4>(); // not needed for any decision
+    let entries = slice_of_tail("endpoint entries", fields, tail, ENTRY_SIZE)?;
+    let entries = entries.chunks_exact(ENTRY_SIZE).map(endpoint_entry).collect::<Result<_, _>>()?;
+    Ok(Event::EndpointList { kind, entries })
+}
+
+fn endpoint_entry(entry: &[u8]) -> Result<EndpointEntry, RecordError> {
+    let mut fields = FieldReader::new(entry);
+    let id = fields.endpoint();
+    let zone = fields.u8();
+    let kind = fields.u8();
+    let cell = fields.u16();
+    let state = endpoint_state(fields.u8())?;
+    let weight = fields.f32();
+    // 0 stands for long ago.
+    let started = fields.f64();
+    let started = (started > 0.0).then(|| millis(started));
+    Ok(EndpointEntry { id, zone, kind, cell, state, weight, started })
+}
+
+fn request(fields: &mut FieldReader) -> Event {
+    let id = RequestId(fields.u64());
+    let class = fields.u16().into();
+    let tenant = fields.u16().into();
+    let key = fields.u64();
+    let remaining = fields.millis();
+    let cost_hint = fields.f64();
+    let flags = fields.u8();
+    Event::Request(NewRequest {
+        id,
+        class,
+        tenant,
+        key,
+        remaining,
+        cost_hint: (flags & HAS_COST_HINT != 0).then(|| millis(cost_hint)),
+        client_retry: flags & IS_CLIENT_RETRY != 0,
+    })
+}
+
+fn stream_started(fields: &mut FieldReader) -> Event {
+    let id = RequestId(fields.u64());
+    fields.skip::<8>(); // not needed for any decision
+    let attempt = fields.u8().into();
+    let endpoint = fields.endpoint();
+    Event::StreamStarted { id, attempt, endpoint }
+}
+
+fn attempt_ended(fields: &mut FieldReader) -> Result<Input, RecordError> {
+    let end = AttemptEnd {
+        id: RequestId(fields.u64()),
+        attempt: fields.u8().into(),
+        endpoint: fields.endpoint(),
+        outcome: outcome(fields.u8())?,
+        elapsed: fields.millis(),
+        finished: fields.u8() != 0,
+        report: None,
+    };
+    let report = RawLoadReport::decode(fields)?;
+    Ok(Input::Event { event: Event::AttemptEnded(end), report })
+}
+
+fn health_checked(fields: &mut FieldReader) -> Result<Input, RecordError> {
+    let end = HealthCheckEnd {
+        endpoint: fields.endpoint(),
+        outcome: outcome(fields.u8())?,
+        elapsed: fields.millis(),
+        report: None,
+    };
+    let report = RawLoadReport::decode(fields)?;
+    Ok(Input::Event { event: Event::HealthChecked(end), report })
+}
+
+fn bytes_in_tail(field: &'static str, fields: &mut FieldReader, tail: &[u8]) -> Result<Vec<u8>, RecordError> {
+    slice_of_tail(field, fields, tail, 1).map(<[u8]>::to_vec)
+}
+
+/// The part of the tail that a record points to, with its start and its count of things of `size` bytes.
+fn slice_of_tail<'a>(
+    field: &'static str,
+    fields: &mut FieldReader,
+    tail: &'a [u8],
+    size: usize,
+) -> Result<&'a [u8], RecordError> {
+    let start = fields.u32() as usize;
+    let count = fields.u32() as usize;
+    let end = count.checked_mul(size).and_then(|length| start.checked_add(length));
+    end.and_then(|end| tail.get(start..end)).ok_or(RecordError::OutsideTail {
+        field,
+        start,
+        count,
+        size,
+        tail: tail.len(),
+    })
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/wire/reply.rs
@@ -0,0 +1,119 @@
+//! Encoding replies.
+
+use super::codes::ActionCode;
+use super::{ACTION_SIZE, REPLY_HEADER_SIZE};
+use ottertiller_balancer::{Action, EndpointId};
+use std::time::Duration;
+
+/// The receiver of a message to all nodes.
+const ALL_PEERS: u16 = u16::MAX;
+
+/// The reply to one batch, as it grows.
+#[derive(Default)]
+pub struct Reply {
+    record_count: u32,
+    records: Vec<u8>,
+    tail: Vec<u8>,
+}
+
+impl Reply {
+    /// Adds an action of an instance.
+    pub fn push(&mut self, instance: u16, action: &Action) {
+        match action {
+            Action::Fail { id } => self.record(ActionCode::Fail, instance).u64(id.0),
+            Action::HealthCheck { endpoint } => {
+                self.record(ActionCode::HealthCheck, instance).endpoint(*endpoint)
+            }
+            Action::Log { text } => self.record(ActionCode::Log, instance).in_tail(text.as_bytes()),
+            Action::SetTimer { after, token } => {
+                self.record(ActionCode::SetTimer, instance).millis(*after).u64(*token)
+            }
+            Action::CancelAttempt { id, attempt } => {
+                self.record(ActionCode::CancelAttempt, instance).u64(id.0).u8(*attempt as u8)
+            }
+            Action::Subscribe { enabled } => {
+                self.record(ActionCode::Subscribe, instance).u8((*enabled).into())
+            }
+            Action::FetchEndpointList => self.record(ActionCode::FetchEndpointList, instance),
+            Action::SendToPeer { to, data } => {
+                let to = to.map_or(ALL_PEERS, |to| to as u16);
+                self.record(ActionCode::SendToPeer, instance).u16(to).in_tail(data)
+            }
+            Action::CloseIdleConnections { endpoint } => {
+                self.record(ActionCode::CloseIdleConnections, instance).endpoint(*endpoint)
+            }
+            Action::Shed { id, retry_after } => {
+                let retry_after = retry_after.unwrap_or_default();
+                self.record(ActionCode::Shed, instance).u64(id.0).millis(retry_after)
+            }
+            Action::StartAttempt { id, endpoint, timeout } => {
+                let record = self.record(ActionCode::StartAttempt, instance);
+                record.u64(id.0).endpoint(*endpoint).millis(*timeout)
+            }
+        };
+        self.close_record();
+    }
+
+    /// Reports that the decisions of an instance panicked.
+    pub fn push_fault(&mut self, instance: u16, message: &str) {
+        self.record(ActionCode::Fault, instance).in_tail(message.as_bytes());
+        self.close_record();
+    }
+
+    /// The finished frame.
+    pub fn into_frame(mut self, batch: u32) -> Vec<u8> {
+        let length = self.records.len() + self.tail.len();
+        let mut frame = Vec::with_capacity(REPLY_HEADER_SIZE + length);
+        frame.extend(batch.to_be_bytes());
+        frame.extend((length as u32).to_be_bytes());
+        frame.extend(self.record_count.to_be_bytes());
+        frame.append(&mut self.records);
+        frame.append(&mut self.tail);
+        frame
+    }
+
+    fn record(&mut self, code: ActionCode, instance: u16) -> &mut Self {
+        self.u8(code as u8).u16(instance)
+    }
+
+    fn close_record(&mut self) {
+        self.record_count += 1;
+        self.records.resize(self.record_count as usize * ACTION_SIZE, 0);
+    }
+
+    /// Adds bytes to the tail, and a pointer to them to the record.
+    fn in_tail(&mut self, bytes: &[u8]) -> &mut Self {
+        let start = self.tail.len() as u32;
+        self.tail.extend(bytes);
+        self.u32(start).u32(bytes.len() as u32)
+    }
+
+    fn put(&mut self, bytes: &[u8]) -> &mut Self {
+        self.records.extend(bytes);
+        self
+    }
+
+    fn u8(&mut self, value: u8) -> &mut Self {
+        self.put(&[value])
+    }
+
+    fn u16(&mut self, value: u16) -> &mut Self {
+        self.put(&value.to_be_bytes())
+    }
+
+    fn u32(&mut self, value: u32) -> &mut Self {
+        self.put(&value.to_be_bytes())
+    }
+
+    fn u64(&mut self, value: u64) -> &mut Self {
+        self.put(&value.to_be_bytes())
+    }
+
+    fn millis(&mut self, value: Duration) -> &mut Self {
+        self.put(&(value.as_micros() as f64 / 1000.0).to_be_bytes())
+    }
+
+    fn endpoint(&mut self, endpoint: EndpointId) -> &mut Self {
+        self.u32((endpoint.0 >> 16) as u32).u16(endpoint.0 as u16)
+    }
+}
--- a/crates/simulator-adapter/src/wire_tests.rs
+++ b/crates/simulator-adapter/src/wire/tests.rs
@@ -1,5 +1,13 @@
+//! Frames in hexadecimal: what is read from batches, and what is written for actions.
+
 use super::*;
-use ottertiller_balancer::{AttemptEnd, HealthCheckEnd};
+use crate::error::AdapterError;
+use ottertiller_balancer::settings::{Column, millis};
+use ottertiller_balancer::{
+    Action, AttemptEnd, EndpointEntry, EndpointId, EndpointState, Event, HealthCheckEnd, ListKind,
+    LoadReport, NewRequest, Outcome, RequestId,
+};
+use std::time::Duration;
 
 fn hex(text: &str) -> Vec<u8> {
     let digits: Vec<u8> = text.bytes().filter(|b| !b.is_ascii_whitespace()).collect();
@@ -19,20 +27,33 @@
     let mut frame = Vec::new();
     frame.extend(12u32.to_be_bytes());
     frame.extend((records.len() as u32).to_be_bytes());
-    frame.extend(((records.len() * EVENT + tail.len()) as u32).to_be_bytes());
+    frame.extend(((records.len() * EVENT_SIZE + tail.len()) as u32).to_be_bytes());
     frame.extend(hex("40c06e2000000000"));
     records.iter().for_each(|record| frame.extend(record));
     frame.extend(tail);
     frame
 }
 
-fn read(frame: &[u8]) -> Result<Vec<(u16, Input)>, String> {
+/// The records of a batch.
+fn read(frame: &[u8]) -> Result<Vec<Record>, AdapterError> {
     let batch = read_batch(&mut &frame[..])?.expect("a batch");
-    batch.records().collect()
+    let in_batch = |(index, record): (usize, Result<Record, _>)| {
+        record.map_err(|cause| AdapterError::Record { batch: batch.number, record: index, cause })
+    };
+    batch.records().enumerate().map(in_batch).collect()
+}
+
+/// The only record of a batch.
+fn read_record(record: &str, tail: &str) -> Record {
+    read(&batch(&[padded(record, EVENT_SIZE)], &hex(tail))).expect("legal").remove(0)
+}
+
+fn read_input(record: &str, tail: &str) -> Input {
+    read_record(record, tail).input
 }
 
-fn one(record: &str, tail: &str) -> (u16, Input) {
-    read(&batch(&[padded(record, EVENT)], &hex(tail))).expect("legal").remove(0)
+fn without_report(event: Event) -> Input {
+    Input::Event { event, report: None }
 }
 
 fn ms(ms: f64) -> Duration {
@@ -44,18 +65,18 @@
     let frame = hex("00000001 00000000 00000000 40c06e2000000000");
     let batch = read_batch(&mut &frame[..]).expect("legal").expect("a batch");
     assert_eq!((batch.number, batch.clock, batch.records().count()), (1, ms(8412.25), 0));
-    assert_eq!(Reply::default().frame(1), hex("00000001 00000000 00000000"));
+    assert_eq!(Reply::default().into_frame(1), hex("00000001 00000000 00000000"));
 }
 
 #[test]
-fn the_shown_batch_of_two_instances_reads_as_told() {
+fn a_batch_of_two_instances_is_decoded() {
     let records = [
         padded(
             "03 0003 000fb0475d3a91c4 0000 0000 91f03b7c55d20a64 406e000000000000 4028000000000000 01",
-            EVENT,
+            EVENT_SIZE,
         ),
-        padded("07 0003 000000000000004d", EVENT),
-        padded("06 0005 0004ed230e6f2b19", EVENT),
+        padded("07 0003 000000000000004d", EVENT_SIZE),
+        padded("06 0005 0004ed230e6f2b19", EVENT_SIZE),
     ];
     let frame = batch(&records, &[]);
     assert_eq!(frame[..12], hex("0000000c 00000003 00000090"));
@@ -68,18 +89,19 @@
         cost_hint: Some(ms(12.0)),
         client_retry: false,
     };
+    let disconnected = Event::ClientDisconnected { id: RequestId(0x0004_ed23_0e6f_2b19) };
     assert_eq!(
         read(&frame).expect("legal"),
         [
-            (3, Input::Event(Event::Request(request), None)),
-            (3, Input::Event(Event::Timer { token: 0x4d }, None)),
-            (5, Input::Event(Event::ClientDisconnected { id: RequestId(0x0004_ed23_0e6f_2b19) }, None)),
+            Record { instance: 3, input: without_report(Event::Request(request)) },
+            Record { instance: 3, input: without_report(Event::Timer { token: 0x4d }) },
+            Record { instance: 5, input: without_report(disconnected) },
         ]
     );
 }
 
 #[test]
-fn the_shown_reply_of_two_records_and_a_log_line_is_byte_exact() {
+fn a_reply_of_two_records_and_a_log_line_is_byte_exact() {
     let mut reply = Reply::default();
     let endpoint = EndpointId(0x0a12_4a07_1b5b);
     reply
@@ -87,18 +109,18 @@
     reply.push(3, &Action::SetTimer { after: ms(500.0), token: 0x4d });
     reply.push(5, &Action::Log { text: "two servers known".into() });
     let mut expected = hex("0000000c 00000071 00000003");
-    expected.extend(padded("4c 0003 000fb0475d3a91c4 0a124a07 1b5b 4054000000000000", ACTION));
-    expected.extend(padded("44 0003 407f400000000000 000000000000004d", ACTION));
-    expected.extend(padded("43 0005 00000000 00000011", ACTION));
+    expected.extend(padded("4c 0003 000fb0475d3a91c4 0a124a07 1b5b 4054000000000000", ACTION_SIZE));
+    expected.extend(padded("44 0003 407f400000000000 000000000000004d", ACTION_SIZE));
+    expected.extend(padded("43 0005 00000000 00000011", ACTION_SIZE));
     expected.extend(hex("74776f2073657276657273206b6e6f776e"));
-    assert_eq!(reply.frame(12), expected);
+    assert_eq!(reply.into_frame(12), expected);
 }
 
 #[test]
-fn the_shown_list_reads_as_told() {
+fn an_endpoint_list_is_decoded() {
     let tail = "0a124a07 1b5b 00 00 0000 02 3f800000 0000000000000000
                 0a9011f2 1b84 01 00 0000 02 3fc00000 40b7d40000000000";
-    let (_, input) = one("02 0003 02 00000029 00000000 00000002", tail);
+    let input = read_input("02 0003 02 00000029 00000000 00000002", tail);
     let near = EndpointEntry {
         id: EndpointId(0x0a12_4a07_1b5b),
         zone: 0,
@@ -116,12 +138,12 @@
         ..near
     };
     let list = Event::EndpointList { kind: ListKind::Cached, entries: vec![near, far] };
-    assert_eq!(input, Input::Event(list, None));
+    assert_eq!(input, without_report(list));
 }
 
 #[test]
-fn the_shown_outcome_reads_as_told() {
-    let (_, input) = one("05 0003 000fb0475d3a91c4 00 0a124a07 1b5b 01 4032800000000000 01 00", "");
+fn the_end_of_an_attempt_is_decoded() {
+    let input = read_input("05 0003 000fb0475d3a91c4 00 0a124a07 1b5b 01 4032800000000000 01 00", "");
     let end = AttemptEnd {
         id: RequestId(0x000f_b047_5d3a_91c4),
         attempt: 0,
@@ -131,13 +153,15 @@
         finished: true,
         report: None,
     };
-    assert_eq!(input, Input::Event(Event::AttemptEnded(end), None));
+    assert_eq!(input, without_report(Event::AttemptEnded(end)));
 }
 
 #[test]
-fn a_probe_result_brings_its_report_under_the_columns_names() {
-    let (_, input) = one("08 0001 0a124a07 1b5b 01 3ff0000000000000 03 40400000 3f800000 3f000000", "");
-    let Input::Event(Event::HealthChecked(end), Some(raw)) = input else { panic!("{input:?}") };
+fn a_health_check_brings_its_report_under_the_names_of_the_columns() {
+    let input = read_input("08 0001 0a124a07 1b5b 01 3ff0000000000000 03 40400000 3f800000 3f000000", "");
+    let Input::Event { event: Event::HealthChecked(end), report: Some(raw) } = input else {
+        panic!("{input:?}")
+    };
     let expected = HealthCheckEnd {
         endpoint: EndpointId(0x0a12_4a07_1b5b),
         outcome: Outcome::Served,
@@ -145,21 +169,22 @@
         report: None,
     };
     assert_eq!(end, expected);
-    let report = named_report(raw, &[Column::Concurrent, Column::Unknown, Column::LoadShare]);
+    let report = raw.named(&[Column::Concurrent, Column::Unknown, Column::LoadShare]);
     let expected = LoadReport { in_flight: Some(3.0), utilisation: Some(0.5), ..LoadReport::default() };
     assert_eq!(report, expected);
 }
 
 #[test]
-fn starts_stops_streams_and_peers_read_as_told() {
-    let (who, input) = one("01 0007 0000000000000009 00000001 00000002", "ff7b7d");
-    assert_eq!((who, input), (7, Input::Start { seed: 9, settings: b"{}".to_vec() }));
-    assert_eq!(one("0a 0007", "").1, Input::Stop);
-    let (_, input) = one("04 0001 0000000000000005 4000000000000000 02 00000000 0007", "");
+fn starts_stops_streams_and_peer_messages_are_decoded() {
+    let record = read_record("01 0007 0000000000000009 00000001 00000002", "ff7b7d");
+    let input = Input::Start { seed: 9, settings: b"{}".to_vec() };
+    assert_eq!(record, Record { instance: 7, input });
+    assert_eq!(read_input("0a 0007", ""), Input::Stop);
+    let input = read_input("04 0001 0000000000000005 4000000000000000 02 00000000 0007", "");
     let started = Event::StreamStarted { id: RequestId(5), attempt: 2, endpoint: EndpointId(7) };
-    assert_eq!(input, Input::Event(started, None));
-    let (_, input) = one("09 0001 00000002 00000000 00000002", "6869");
-    assert_eq!(input, Input::Event(Event::PeerMessage { from: 2, data: b"hi".to_vec() }, None));
+    assert_eq!(input, without_report(started));
+    let input = read_input("09 0001 00000002 00000000 00000002", "6869");
+    assert_eq!(input, without_report(Event::PeerMessage { from: 2, data: b"hi".to_vec() }));
 }
 
 #[test]
@@ -183,32 +208,35 @@
     for (action, record, tail) in cases {
         let mut reply = Reply::default();
         reply.push(3, &action);
-        let expected: Vec<u8> = [padded(record, ACTION), hex(tail)].concat();
-        assert_eq!(reply.frame(1)[12..], expected, "{action:?}");
+        let expected: Vec<u8> = [padded(record, ACTION_SIZE), hex(tail)].concat();
+        assert_eq!(reply.into_frame(1)[12..], expected, "{action:?}");
     }
     let mut reply = Reply::default();
     reply.push_fault(3, "hi");
-    assert_eq!(reply.frame(1)[12..], [padded("47 0003 00000000 00000002", ACTION), b"hi".to_vec()].concat());
+    assert_eq!(
+        reply.into_frame(1)[12..],
+        [padded("47 0003 00000000 00000002", ACTION_SIZE), b"hi".to_vec()].concat()
+    );
 }
 
 #[test]
-fn bad_frames_are_named_by_batch_record_and_fault() {
-    let good = padded("0a 0001", EVENT);
-    let with = |bad: &str| batch(&[good.clone(), padded(bad, EVENT)], b"tail");
+fn errors_name_the_batch_the_record_and_the_cause() {
+    let good = padded("0a 0001", EVENT_SIZE);
+    let with = |bad: &str| batch(&[good.clone(), padded(bad, EVENT_SIZE)], b"tail");
     let cases = [
         (hex("00000001 0000"), "batch header: 6 of 20 bytes"),
         (with("0a 0001")[..60].to_vec(), "batch 12: 40 of 100 bytes"),
         (hex("0000000c 7fffffff 00000000 40c06e2000000000"), "batch 12: 2147483647 records do not fit"),
         (hex("0000000c 00000000 00000000 7ff8000000000000"), "batch 12: the clock is no number"),
         (with("0b 0001"), "batch 12: record 1: unknown event code 11"),
-        (with("02 0001 04"), "batch 12: record 1: unknown list form 4"),
+        (with("02 0001 04"), "batch 12: record 1: unknown list kind 4"),
         (
             with("02 0001 01 00000001 00000000 ffffffff"),
-            "batch 12: record 1: points to 4294967295 x 23 bytes",
+            "batch 12: record 1: endpoint entries: points to 4294967295 x 23 bytes",
         ),
         (
             with("09 0001 00000001 00000003 00000002"),
-            "batch 12: record 1: points to 2 x 1 bytes at 3 of a tail of 4",
+            "batch 12: record 1: peer message: points to 2 x 1 bytes at 3 of a tail of 4",
         ),
         (with("08 0001 00000000 0001 08"), "batch 12: record 1: unknown outcome 8"),
         (
@@ -217,29 +245,31 @@
         ),
     ];
     for (frame, expected) in cases {
-        let fault = read(&frame).expect_err(expected);
-        assert!(fault.starts_with(expected), "{fault} instead of {expected}");
+        let error = read(&frame).expect_err(expected).to_string();
+        assert!(error.starts_with(expected), "{error} instead of {expected}");
     }
-    let entry = padded("0a124a07 1b5b 00 00 0000 03", ENTRY);
-    let fault = read(&batch(&[padded("02 0001 01 00000001 00000000 00000001", EVENT)], &entry));
-    assert_eq!(fault.expect_err("bad state"), "batch 12: record 0: unknown server state 3");
+    let entry = padded("0a124a07 1b5b 00 00 0000 03", ENTRY_SIZE);
+    let error = read(&batch(&[padded("02 0001 01 00000001 00000000 00000001", EVENT_SIZE)], &entry));
+    assert_eq!(error.expect_err("bad state").to_string(), "batch 12: record 0: unknown endpoint state 3");
 }
 
 #[test]
-fn the_end_of_the_input_is_no_fault() {
+fn the_end_of_the_input_is_no_error() {
     assert!(read_batch(&mut &[][..]).expect("legal").is_none());
 }
 
 #[test]
 fn ids_go_out_as_they_came_in() {
     let tail = "0a90ffff 1b84 02 00 0000 02 3f800000 0000000000000000";
-    let (_, input) = one("02 0003 01 00000001 00000000 00000001", tail);
-    let Input::Event(Event::EndpointList { entries, .. }, None) = input else { panic!("{input:?}") };
-    let (_, input) = one("03 0003 000fffffffffffff 0001 0002 0000000000000000 406e000000000000", "");
-    let Input::Event(Event::Request(new), None) = input else { panic!("{input:?}") };
+    let input = read_input("02 0003 01 00000001 00000000 00000001", tail);
+    let Input::Event { event: Event::EndpointList { entries, .. }, report: None } = input else {
+        panic!("{input:?}")
+    };
+    let input = read_input("03 0003 000fffffffffffff 0001 0002 0000000000000000 406e000000000000", "");
+    let Input::Event { event: Event::Request(new), report: None } = input else { panic!("{input:?}") };
     assert_eq!((new.class, new.tenant, new.cost_hint), (1, 2, None));
     let mut reply = Reply::default();
     reply.push(3, &Action::StartAttempt { id: new.id, endpoint: entries[0].id, timeout: new.remaining });
-    let expected = padded("4c 0003 000fffffffffffff 0a90ffff 1b84 406e000000000000", ACTION);
-    assert_eq!(reply.frame(1)[12..], expected);
+    let expected = padded("4c 0003 000fffffffffffff 0a90ffff 1b84 406e000000000000", ACTION_SIZE);
+    assert_eq!(reply.into_frame(1)[12..], expected);
 }
--- a/crates/simulator-adapter/tests/adapter.rs
+++ b/crates/simulator-adapter/tests/adapter.rs
@@ -1,8 +1,22 @@
-//! The adapter as a process: whole frames in, whole frames out, and plain words for bad input.
+//! The adapter as a process: whole frames in, whole frames out, and one line of error for bad input.
 
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
+/// The codes of the events and actions that the tests use.
+const START: u8 = 1;
+const ENDPOINT_LIST: u8 = 2;
+const REQUEST: u8 = 3;
+const STOP: u8 = 10;
+const SET_TIMER: u8 = 68;
+const SHED: u8 = 75;
+const START_ATTEMPT: u8 = 76;
+
+const EVENT_SIZE: usize = 48;
+const ACTION_SIZE: usize = 32;
+const REPLY_HEADER_SIZE: usize = 12;
+const ENTRY_SIZE: usize = 23;
+
 const SETTINGS: &str = r#"{"NInstances": 2, "Surprise": {"Deep": [1]}, "Classes": [{"Target": 400.0, "GiveUp": 1000.0,
     "Idempotency": "free", "Unheard": true}]}"#;
 
@@ -18,6 +32,7 @@
     child.wait_with_output().expect("it ends with its input")
 }
 
+/// A batch under construction.
 struct Batch {
     count: u32,
     records: Vec<u8>,
@@ -28,37 +43,46 @@
     fn new() -> Self {
         Batch { count: 0, records: Vec::new(), tail: Vec::new() }
     }
-    fn record(mut self, code: u8, who: u16, fields: &[&[u8]]) -> Self {
+
+    fn record(mut self, code: u8, instance: u16, fields: &[&[u8]]) -> Self {
         let mut record = vec![code];
-        record.extend(who.to_be_bytes());
+        record.extend(instance.to_be_bytes());
         fields.iter().for_each(|field| record.extend(*field));
-        record.resize(48, 0);
+        record.resize(EVENT_SIZE, 0);
         self.records.extend(record);
         self.count += 1;
         self
     }
+
     /// A start, with its settings at the end of the tail so far.
-    fn spawn(mut self, who: u16, settings: &[u8]) -> Self {
+    fn start(mut self, instance: u16, settings: &[u8]) -> Self {
         let at = (self.tail.len() as u32).to_be_bytes();
         self.tail.extend(settings);
-        self.record(1, who, &[&9u64.to_be_bytes(), &at, &(settings.len() as u32).to_be_bytes()])
+        self.record(START, instance, &[&9u64.to_be_bytes(), &at, &(settings.len() as u32).to_be_bytes()])
     }
-    /// A complete list of so many ready servers.
-    fn list(mut self, who: u16, endpoints: u16) -> Self {
+
+    /// A snapshot of so many ready endpoints.
+    fn list(mut self, instance: u16, endpoints: u16) -> Self {
         let at = (self.tail.len() as u32).to_be_bytes();
         for number in 0..endpoints {
             let mut entry = vec![10, 0, 0, 1];
             entry.extend(number.to_be_bytes());
             entry.extend([0, 0, 0, 0, 2]);
-            entry.resize(23, 0);
+            entry.resize(ENTRY_SIZE, 0);
             self.tail.extend(entry);
         }
-        self.record(2, who, &[&[1], &1u32.to_be_bytes(), &at, &u32::from(endpoints).to_be_bytes()])
+        self.record(
+            ENDPOINT_LIST,
+            instance,
+            &[&[1], &1u32.to_be_bytes(), &at, &u32::from(endpoints).to_be_bytes()],
+        )
     }
-    fn request(self, who: u16, id: u64) -> Self {
+
+    fn request(self, instance: u16, id: u64) -> Self {
         let remaining = 900f64.to_be_bytes();
-        self.record(3, who, &[&id.to_be_bytes(), &[0; 12], &remaining])
+        self.record(REQUEST, instance, &[&id.to_be_bytes(), &[0; 12], &remaining])
     }
+
     fn frame(self, number: u32) -> Vec<u8> {
         let mut frame = Vec::new();
         frame.extend(number.to_be_bytes());
@@ -77,8 +101,8 @@
     let (mut at, mut replies) = (0, Vec::new());
     while at < output.len() {
         let (length, count) = (word(at + 4), word(at + 8));
-        replies.push((0..count).map(|i| output[at + 12 + 32 * i]).collect());
-        at += 12 + length;
+        replies.push((0..count).map(|i| output[at + REPLY_HEADER_SIZE + ACTION_SIZE * i]).collect());
+        at += REPLY_HEADER_SIZE + length;
     }
     replies
 }
@@ -86,61 +110,61 @@
 #[test]
 fn instances_run_side_by_side_restart_in_a_batch_and_end_with_the_input() {
     let settings = SETTINGS.as_bytes();
-    let first = Batch::new().spawn(1, settings).list(1, 2).spawn(2, settings).list(2, 2).frame(1);
+    let first = Batch::new().start(1, settings).list(1, 2).start(2, settings).list(2, 2).frame(1);
     let requests = Batch::new().request(1, 5).request(2, 6).frame(2);
     // Instance 1 restarts in one batch; what comes for instance 2 after its stop is late.
     let restart = Batch::new()
-        .record(10, 1, &[])
-        .spawn(1, settings)
+        .record(STOP, 1, &[])
+        .start(1, settings)
         .list(1, 1)
         .request(1, 7)
-        .record(10, 2, &[])
+        .record(STOP, 2, &[])
         .request(2, 8)
         .frame(3);
     let output = run(&[first, requests, restart, Batch::new().frame(4)].concat());
     assert!(output.status.success());
     let replies = replies(&output.stdout);
     assert_eq!(replies.len(), 4);
-    let sends = |reply: usize| replies[reply].iter().filter(|code| **code == 76).count();
-    assert_eq!((sends(0), sends(1), sends(2), replies[3].len()), (0, 2, 1, 0));
+    let attempts = |reply: usize| replies[reply].iter().filter(|code| **code == START_ATTEMPT).count();
+    assert_eq!((attempts(0), attempts(1), attempts(2), replies[3].len()), (0, 2, 1, 0));
 }
 
 #[test]
 fn a_megabyte_batch_is_answered_whole() {
-    let start = Batch::new().spawn(1, SETTINGS.as_bytes()).list(1, 40).frame(1);
+    let start = Batch::new().start(1, SETTINGS.as_bytes()).list(1, 40).frame(1);
     let many = (0..25_000).fold(Batch::new(), |batch, id| batch.request(1, id)).frame(2);
     assert!(many.len() > 1_000_000);
     let output = run(&[start, many].concat());
     assert!(output.status.success());
     let replies = replies(&output.stdout);
-    // Each request is sent, refused or held for a while.
-    let told = replies[1].iter().filter(|code| [76, 75, 68].contains(code)).count();
-    assert!(told >= 25_000);
+    // Each request is sent, shed or queued for a while.
+    let decided = replies[1].iter().filter(|code| [START_ATTEMPT, SHED, SET_TIMER].contains(code)).count();
+    assert!(decided >= 25_000);
 }
 
 #[test]
-fn bad_input_ends_with_one_plain_line_and_no_half_reply() {
-    let good = Batch::new().spawn(1, SETTINGS.as_bytes()).list(1, 2).frame(1);
+fn bad_input_ends_with_one_line_of_error_and_no_partial_reply() {
+    let good = Batch::new().start(1, SETTINGS.as_bytes()).list(1, 2).frame(1);
     let cases = [
         (good[..30].to_vec(), "batch 1: 10 of"),
         (Batch::new().record(77, 1, &[]).frame(9), "batch 9: record 0: unknown event code 77"),
-        (Batch::new().spawn(1, b"{\"Classes\": 5}").frame(3), "batch 3: record 0: bad settings:"),
-        (Batch::new().spawn(1, b"{\"Classes\": []}").frame(3), "batch 3: record 0: bad settings: no classes"),
-        (Batch::new().spawn(1, b"\xff\xfe").frame(3), "batch 3: record 0: bad settings:"),
+        (Batch::new().start(1, b"{\"Classes\": 5}").frame(3), "batch 3: record 0: bad settings:"),
+        (Batch::new().start(1, b"{\"Classes\": []}").frame(3), "batch 3: record 0: bad settings: no classes"),
+        (Batch::new().start(1, b"\xff\xfe").frame(3), "batch 3: record 0: bad settings:"),
         ([&good[..], &[0, 0, 0]].concat(), "batch header: 3 of 20 bytes"),
     ];
     for (input, expected) in cases {
         let output = run(&input);
-        let said = String::from_utf8_lossy(&output.stderr);
+        let error = String::from_utf8_lossy(&output.stderr);
         assert!(!output.status.success(), "{expected}");
-        assert!(said.starts_with(&format!("ottertiller-simulator-adapter: {expected}")), "{said}");
-        assert_eq!(said.lines().count(), 1, "{said}");
+        assert!(error.starts_with(&format!("ottertiller-simulator-adapter: {expected}")), "{error}");
+        assert_eq!(error.lines().count(), 1, "{error}");
         replies(&output.stdout);
     }
 }
 
 #[test]
-fn a_length_that_is_only_claimed_takes_no_memory() {
+fn a_claimed_length_takes_no_memory() {
     let mut frame = Batch::new().frame(1);
     frame[8..12].copy_from_slice(&u32::MAX.to_be_bytes());
     let output = run(&frame);
