--- a/crates/balancer/tests/properties.rs
+++ b/crates/balancer/tests/properties.rs
@@ -7,6 +7,9 @@
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 use simulation::fixtures::*;
 use simulation::node::NodeSimulation;
+use std::collections::BTreeMap;
+use std::ops::Range;
+use std::time::Duration;
 
 /// One step of a history. The numbers choose among what is there at that point.
 #[derive(Clone, Debug)]
@@ -151,7 +154,7 @@
     settings.rules.overload_window = ms(1500);
     let mut node = NodeSimulation::with_seed(settings, seed);
     node.update_endpoints(ListKind::Snapshot, (0..3).map(entry).collect());
-    let mut free_at = std::collections::BTreeMap::new();
+    let mut free_at = BTreeMap::new();
     let (mut seen, mut sent, mut began) = (0, Vec::new(), None);
     for (step, (requests, pause)) in arrivals.iter().enumerate() {
         if step == arrivals.len() / 3 {
@@ -203,51 +206,59 @@
     }
 }
 
-/// Slow start at full size: hundreds of quiet nodes, none of which alone sends much, and one endpoint that has
-/// been in slow start for a while when all of them turn to it at once. Counts what all together send it in a window.
-fn play_many_nodes_before_an_endpoint_in_slow_start(seed: u64) -> Result<(), TestCaseError> {
-    const NODES: u32 = 200;
+const QUIET_NODES: u32 = 200;
+const ROUND: Duration = Duration::from_millis(50);
+const STARTING_ENDPOINT: EndpointId = EndpointId(10);
+
+/// Nodes that all know the endpoints 0 to 9.
+fn quiet_nodes(seed: u64) -> Vec<NodeSimulation> {
     let mut settings = response_report_settings();
-    settings.node_count = NODES;
+    settings.node_count = QUIET_NODES;
     settings.rules.initial_capacity = 0.12;
     settings.rules.slow_start_window = ms(19_000);
     settings.rules.overload_factor = 1.5;
     settings.rules.overload_window = ms(1500);
-    let mut nodes: Vec<_> = (0..NODES)
-        .map(|node_index| {
-            let mut node = NodeSimulation::with_seed(
-                Settings { node_index, ..settings.clone() },
-                seed.wrapping_add(node_index.into()),
-            );
-            node.update_endpoints(ListKind::Snapshot, (0..10).map(entry).collect());
-            node
-        })
-        .collect();
-    let play_rounds = |nodes: &mut Vec<NodeSimulation>, rounds: std::ops::Range<u32>| {
-        let mut sent = Vec::new();
-        for round in rounds {
-            for (index, node) in nodes.iter_mut().enumerate() {
-                // Each node has a request every 500 ms, 400 a second in all: 40 a second for each of ten.
-                if index as u32 % 10 == round % 10 {
-                    let before = node.actions.len();
-                    node.request(0);
-                    let attempts = node.actions[before..]
-                        .iter()
-                        .filter(|a| matches!(a, Action::StartAttempt { endpoint, .. } if endpoint.0 == 10));
-                    sent.extend(attempts.map(|_| round));
-                }
-                node.advance(ms(50));
-                for (id, attempt) in node.in_flight() {
-                    node.end_attempt(id, attempt, Outcome::Served, Some(1.0));
-                }
+    let start = |node_index: u32| {
+        let settings = Settings { node_index, ..settings.clone() };
+        let mut node = NodeSimulation::with_seed(settings, seed.wrapping_add(node_index.into()));
+        node.update_endpoints(ListKind::Snapshot, (0..10).map(entry).collect());
+        node
+    };
+    (0..QUIET_NODES).map(start).collect()
+}
+
+/// Plays rounds, and returns the round of each attempt at the endpoint in slow start. Each node has a request every
+/// 500 ms, which is 400 a second in all: 40 a second for each of ten endpoints.
+fn play_rounds(nodes: &mut [NodeSimulation], rounds: Range<u32>) -> Vec<u32> {
+    let at_starting_endpoint =
+        |action: &&Action| matches!(action, Action::StartAttempt { endpoint: STARTING_ENDPOINT, .. });
+    let mut sent = Vec::new();
+    for round in rounds {
+        for (index, node) in nodes.iter_mut().enumerate() {
+            if index as u32 % 10 == round % 10 {
+                let before = node.actions.len();
+                node.request(0);
+                let attempts = node.actions[before..].iter().filter(at_starting_endpoint).count();
+                sent.extend(std::iter::repeat_n(round, attempts));
+            }
+            node.advance(ROUND);
+            for (id, attempt) in node.in_flight() {
+                node.end_attempt(id, attempt, Outcome::Served, Some(1.0));
             }
         }
-        sent
-    };
+    }
+    sent
+}
+
+/// Slow start at full size: hundreds of quiet nodes, none of which alone sends much, and one endpoint that has
+/// been in slow start for a while when all of them turn to it at once. Counts what all together send it in a window.
+fn play_many_nodes_before_an_endpoint_in_slow_start(seed: u64) -> Result<(), TestCaseError> {
+    let mut nodes = quiet_nodes(seed);
     play_rounds(&mut nodes, 0..200);
     for node in &mut nodes {
         let started = Some(node.now);
-        node.update_endpoints(ListKind::Delta, vec![EndpointEntry { started, ..entry(10) }]);
+        let starting = EndpointEntry { started, ..entry(STARTING_ENDPOINT.0) };
+        node.update_endpoints(ListKind::Delta, vec![starting]);
     }
     // Four seconds later most of the others drain.
     play_rounds(&mut nodes, 200..280);
