--- a/crates/node/tests/node/bad_input.rs
+++ b/crates/node/tests/node/bad_input.rs
@@ -1,8 +1,6 @@
 //! Malformed requests and configurations are answered with an error and reach no endpoint.
 
 use crate::support::*;
-use std::sync::Mutex;
-use std::sync::mpsc::channel;
 
 const KEY: &str = "Idempotency-Key: 5c0f\r\n";
 
@@ -112,10 +110,9 @@
 
 #[test]
 fn the_id_of_a_request_in_flight_is_rejected_and_that_request_is_served() {
-    let (release, gate) = channel::<()>();
-    let gate = Mutex::new(gate);
+    let (gate_keeper, gate) = gate();
     let endpoint = ScriptedEndpoint::start(move |message| {
-        let _ = gate.lock().expect("the gate").recv_timeout(TEST_TIMEOUT);
+        gate.wait();
         ok(&message.start_line)
     });
     let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&endpoint]);
@@ -129,11 +126,11 @@
         assert_eq!(other.request(start, &headers, body).status(), 409, "{start}");
         assert!(other.is_closed());
     }
-    release.send(()).expect("the endpoint waits");
+    gate_keeper.release_one();
     let response = open.receive().expect("a response");
     assert_eq!((response.status(), response.body), (200, b"POST /correct/1f HTTP/1.1".to_vec()));
     // Once the request has its response, the id is free again.
-    release.send(()).expect("the endpoint waits");
+    gate_keeper.release_one();
     assert_eq!(open.request("POST /correct/1f", &headers, b"sheet").status(), 200);
     assert_eq!(endpoint.request_count(), 2);
 }
--- a/crates/node/tests/node/connections.rs
+++ b/crates/node/tests/node/connections.rs
@@ -2,8 +2,6 @@
 
 use crate::support::*;
 use std::collections::BTreeSet;
-use std::sync::Mutex;
-use std::sync::mpsc::channel;
 
 #[test]
 fn a_connection_is_reused_and_closed_before_its_endpoint_would_close_it() {
@@ -22,11 +20,10 @@
 
 #[test]
 fn a_connection_carries_one_request_at_a_time() {
-    let (release, gate) = channel::<()>();
-    let gate = Mutex::new(gate);
+    let (gate_keeper, gate) = gate();
     let endpoint = ScriptedEndpoint::start(move |message| {
         if message.start_line.contains("/correct/") {
-            let _ = gate.lock().expect("the gate").recv_timeout(TEST_TIMEOUT);
+            gate.wait();
         }
         ok("")
     });
@@ -42,7 +39,8 @@
     // Either may be seen first.
     let seen = BTreeSet::from([endpoint.next_request().connection, endpoint.next_request().connection]);
     assert_eq!(seen, BTreeSet::from([0, 1]));
-    release.send(()).and_then(|()| release.send(())).expect("the endpoint waits");
+    gate_keeper.release_one();
+    gate_keeper.release_one();
     for client in &mut clients {
         assert_eq!(client.receive().expect("a response").status(), 200);
     }
--- a/crates/node/tests/node/limits.rs
+++ b/crates/node/tests/node/limits.rs
@@ -1,8 +1,6 @@
 //! The limits of descriptors and memory.
 
 use crate::support::*;
-use std::sync::mpsc::channel;
-use std::sync::{Arc, Mutex};
 
 #[test]
 fn idle_clients_make_room_for_new_ones() {
@@ -21,13 +19,12 @@
 
 #[test]
 fn a_waiting_client_takes_the_place_of_the_first_that_falls_idle() {
-    let (release, gate) = channel::<()>();
-    let gate = Arc::new(Mutex::new(gate));
+    let (gate_keeper, gate) = gate();
     let endpoints = [0, 1].map(|_| {
         let gate = gate.clone();
         ScriptedEndpoint::start(move |message| {
             if message.start_line.contains("/correct/") {
-                let _ = gate.lock().expect("the gate").recv_timeout(TEST_TIMEOUT);
+                gate.wait();
             }
             ok("")
         })
@@ -43,9 +40,9 @@
     let mut waiting = node.client();
     waiting.send("GET /health/ready", "", b"");
     // The first response frees no connection, it only leaves one idle.
-    release.send(()).expect("an endpoint waits");
+    gate_keeper.release_one();
     assert_eq!(waiting.receive().expect("a response").status(), 200);
-    release.send(()).expect("the other waits");
+    gate_keeper.release_one();
     for client in &mut busy {
         assert_eq!(client.receive().expect("a response").status(), 200);
     }
--- a/crates/node/tests/node/reload.rs
+++ b/crates/node/tests/node/reload.rs
@@ -1,8 +1,6 @@
 //! Configurations read again while the node runs.
 
 use crate::support::*;
-use std::sync::Mutex;
-use std::sync::mpsc::channel;
 
 #[test]
 fn a_new_discovery_address_is_watched_at_once_and_the_list_stays_until_its_first_snapshot() {
@@ -72,10 +70,9 @@
 
 #[test]
 fn a_reload_during_shutdown_does_not_end_requests_in_flight() {
-    let (release, gate) = channel::<()>();
-    let gate = Mutex::new(gate);
+    let (gate_keeper, gate) = gate();
     let endpoint = ScriptedEndpoint::start(move |_| {
-        let _ = gate.lock().expect("the gate").recv_timeout(TEST_TIMEOUT);
+        gate.wait();
         ok("held")
     });
     let (mut node, _watch, discovery) = start_node(&settings(LONG_MS, ""), &[&endpoint]);
@@ -86,7 +83,7 @@
     node.wait_for_log("told to stop");
     node.reload(&config(discovery.address, &settings(LONG_MS, ""), 1024));
     node.wait_for_log("read again");
-    release.send(()).expect("the endpoint waits");
+    gate_keeper.release_one();
     assert_eq!(held.receive().expect("a request in flight has a response").body, b"held");
     assert_eq!(node.wait_for_exit().code(), Some(0));
 }
--- a/crates/node/tests/node/shutdown.rs
+++ b/crates/node/tests/node/shutdown.rs
@@ -1,18 +1,15 @@
 //! Graceful shutdown: requests in flight are answered, idle connections close.
 
 use crate::support::*;
-use std::sync::mpsc::channel;
-use std::sync::{Arc, Mutex};
 
 #[test]
 fn a_terminated_node_finishes_its_requests_in_flight_and_exits() {
-    let (release, gate) = channel::<()>();
-    let gate = Arc::new(Mutex::new(gate));
+    let (gate_keeper, gate) = gate();
     // One for each request that is held: a new node has one attempt in flight at each endpoint.
     let endpoints = [0, 1, 2].map(|_| {
         let gate = gate.clone();
         ScriptedEndpoint::start(move |_| {
-            let _ = gate.lock().expect("the gate").recv_timeout(TEST_TIMEOUT);
+            gate.wait();
             ok("held")
         })
     });
@@ -31,7 +28,7 @@
     late.send_correct();
     kept.send_correct();
     wait_until(|| all() == 3, "all requests at endpoints");
-    (0..3).for_each(|_| release.send(()).expect("the endpoint waits"));
+    (0..3).for_each(|_| gate_keeper.release_one());
     for client in [&mut held, &mut late, &mut kept] {
         let response = client.receive().expect("an admitted request has a response");
         assert_eq!((response.status(), response.header("connection")), (200, close));
--- a/crates/node/tests/node/support/mod.rs
+++ b/crates/node/tests/node/support/mod.rs
@@ -5,6 +5,7 @@
 mod config;
 mod discovery;
 mod endpoint;
+mod gate;
 mod message;
 mod process;
 
@@ -12,6 +13,7 @@
 pub use config::*;
 pub use discovery::*;
 pub use endpoint::*;
+pub use gate::*;
 pub use process::*;
 
 use std::time::{Duration, Instant};
