--- /dev/null
+++ b/crates/balancer/tests/decisions/hedging.rs
@@ -0,0 +1,45 @@
+//! Hedged requests: what follows an attempt without a response.
+
+use crate::simulation::fixtures::*;
+use crate::simulation::node::NodeSimulation;
+use crate::support::*;
+use ottertiller_balancer::*;
+
+#[test]
+fn an_attempt_without_a_response_is_followed_by_another_as_far_as_its_class_allows() {
+    // Guards against: a response that never comes takes the request's whole time.
+    for (class, further) in [(0, true), (1, false), (4, true)] {
+        for parallel in [false, true] {
+            let mut settings = response_report_settings();
+            settings.limits.parallel_attempts = parallel;
+            let mut node = NodeSimulation::with_endpoints(settings, 6);
+            play_requests(&mut node, 100, |_| Outcome::Served); // responses take 30 ms
+            let (id, _) = node.request(class);
+            node.advance(ms(if parallel { 200 } else { 390 }));
+            let attempts = node
+                .actions
+                .iter()
+                .filter(|a| matches!(a, Action::StartAttempt { id: i, .. } if *i == id))
+                .count();
+            assert_eq!(attempts > 1, further, "class {class}, parallel {parallel}: {attempts} attempts");
+        }
+    }
+}
+
+/// The endpoint goes on working on a cancelled attempt: where no two attempts may be in flight, to cancel one is waste
+/// until the next would come too late.
+#[test]
+fn where_one_attempt_is_allowed_it_is_cancelled_only_when_the_next_has_just_enough_time() {
+    for class in [0, 4] {
+        let mut settings = response_report_settings();
+        settings.limits.parallel_attempts = false;
+        let mut node = NodeSimulation::with_endpoints(settings, 6);
+        play_requests(&mut node, 300, |_| Outcome::Served); // responses take 30 ms, and nearly all would within 120
+        let (id, _) = node.request(class);
+        // A slow response is still waited for; retries of class 4 are deduplicated for 300 ms only.
+        node.advance(ms(250));
+        assert_eq!(node.in_flight(), [(id, 0)], "class {class}");
+        node.advance(ms(50));
+        assert_eq!(node.in_flight(), [(id, 1)], "class {class}");
+    }
+}
--- /dev/null
+++ b/crates/balancer/tests/decisions/late_events.rs
@@ -0,0 +1,75 @@
+//! Events that arrive after what they concern has ended.
+
+use crate::simulation::fixtures::*;
+use crate::simulation::node::NodeSimulation;
+use crate::support::*;
+use ottertiller_balancer::*;
+
+#[test]
+fn late_events_have_no_effect() {
+    let mut node = NodeSimulation::with_endpoints(response_report_settings(), 2);
+    let (id, _) = node.request(1);
+    node.disconnect_client(id);
+    assert!(node.deliver(Event::ClientDisconnected { id }).is_empty());
+    node.advance(ms(1));
+    assert!(node.in_flight().is_empty());
+    assert!(node.deliver(Event::Timer { token: id.0 }).is_empty());
+    let endpoint = EndpointId(77);
+    let end = HealthCheckEnd { endpoint, outcome: Outcome::Served, elapsed: ms(1), report: None };
+    assert!(node.deliver(Event::HealthChecked(end)).is_empty());
+    let ended = AttemptEnd {
+        id,
+        attempt: 0,
+        endpoint,
+        outcome: Outcome::Served,
+        elapsed: ms(1),
+        finished: true,
+        report: None,
+    };
+    assert!(node.deliver(Event::AttemptEnded(ended)).is_empty());
+    assert!(node.deliver(Event::StreamStarted { id, attempt: 0, endpoint }).is_empty());
+}
+
+/// Whatever a request waits for when its client disconnects, nothing of it is sent any more.
+#[test]
+fn nothing_is_sent_for_a_client_that_has_disconnected() {
+    let count_attempts =
+        |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::StartAttempt { .. })).count();
+    // Queued without an endpoint, which is listed just then.
+    let mut node = NodeSimulation::new(response_report_settings());
+    node.update_endpoints(ListKind::Snapshot, vec![]);
+    let (queued, _) = node.request(0);
+    node.disconnect_client(queued);
+    let before = node.actions.len();
+    node.update_endpoints(ListKind::Snapshot, (0..4).map(entry).collect());
+    node.advance(ms(2000));
+    assert_eq!(count_attempts(&node.actions[before..]), 0, "queued");
+
+    // Held for health checks, which find an idle endpoint just then.
+    let mut node = NodeSimulation::with_endpoints(health_check_settings(), 4);
+    let (held, actions) = node.request(0);
+    assert!(health_checks(&actions) > 0 && count_attempts(&actions) == 0);
+    node.disconnect_client(held);
+    let before = node.actions.len();
+    node.answer_health_checks(&[0, 1, 2, 3]);
+    node.advance(ms(2000));
+    assert_eq!(count_attempts(&node.actions[before..]), 0, "held");
+
+    // With an attempt in flight that has no response, or ends so that a retry may follow: never sent, or failed.
+    for outcome in [None, Some(Outcome::NotSent), Some(Outcome::ConnectFailed), Some(Outcome::Error)] {
+        for cancel in [true, false] {
+            let mut settings = response_report_settings();
+            settings.limits.cancel = cancel;
+            let mut node = NodeSimulation::with_endpoints(settings, 4);
+            let (waiting, actions) = node.request(0);
+            assert_eq!(count_attempts(&actions), 1);
+            node.disconnect_client(waiting);
+            let before = node.actions.len();
+            if let Some(outcome) = outcome {
+                node.end_attempt(waiting, 0, outcome, None);
+            }
+            node.advance(ms(2000));
+            assert_eq!(count_attempts(&node.actions[before..]), 0, "{outcome:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/node/connections.rs
@@ -0,0 +1,120 @@
+//! Connections to endpoints: reuse, framing of responses, and their end.
+
+use crate::support::*;
+use std::collections::BTreeSet;
+
+#[test]
+fn a_connection_is_reused_and_closed_before_its_endpoint_would_close_it() {
+    let endpoint = ScriptedEndpoint::start(|_| ok(""));
+    let (node, _watch, _discovery) = start_node(&settings(LONG_MS, r#","IdleClose":2000"#), &[&endpoint]);
+    let mut client = node.client();
+    for _ in 0..5 {
+        assert_eq!(client.request_read().status(), 200);
+        assert_eq!(endpoint.next_request().connection, 0);
+        wait_for_idle_connection();
+    }
+    assert_eq!(endpoint.next_closed(), 0);
+    assert_eq!(client.request_read().status(), 200);
+    assert_eq!(endpoint.next_request().connection, 1);
+}
+
+#[test]
+fn a_connection_carries_one_request_at_a_time() {
+    let (gate_keeper, gate) = gate();
+    let endpoint = ScriptedEndpoint::start(move |message| {
+        if message.start_line.contains("/correct/") {
+            gate.wait();
+        }
+        ok("")
+    });
+    let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&endpoint]);
+    // By responses in time the balancer learns that the endpoint can take two at once.
+    let mut clients = [node.client(), node.client()];
+    for _ in 0..40 {
+        assert_eq!(clients[0].request_read().status(), 200);
+        assert_eq!(endpoint.next_request().connection, 0);
+        wait_for_idle_connection();
+    }
+    clients.iter_mut().for_each(Client::send_correct);
+    // Either may be seen first.
+    let seen = BTreeSet::from([endpoint.next_request().connection, endpoint.next_request().connection]);
+    assert_eq!(seen, BTreeSet::from([0, 1]));
+    gate_keeper.release_one();
+    gate_keeper.release_one();
+    for client in &mut clients {
+        assert_eq!(client.receive().expect("a response").status(), 200);
+    }
+}
+
+#[test]
+fn bytes_behind_a_response_are_no_response() {
+    // A second response in the same segment, and stray bytes: the connection must not be reused.
+    let copies: [&'static [u8]; 2] = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngoodHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood\0\x01\x02",
+    ];
+    for bytes in copies {
+        let endpoint = ScriptedEndpoint::start(move |_| ScriptedReply::Raw(bytes));
+        let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&endpoint]);
+        let mut client = node.client();
+        for connection in 0..10 {
+            assert_eq!(client.request_correct().body, b"good");
+            assert_eq!(endpoint.next_request().connection, connection);
+            wait_for_idle_connection();
+        }
+    }
+}
+
+#[test]
+fn interim_responses_are_skipped() {
+    let endpoint = ScriptedEndpoint::start(|_| {
+        ScriptedReply::Raw(
+            b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n\
+            HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood",
+        )
+    });
+    let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&endpoint]);
+    (0..3).for_each(|_| assert_eq!(node.client().request_correct().body, b"good"));
+}
+
+/// A response that ends with its connection may have been cut off.
+#[test]
+fn a_response_without_a_length_is_not_taken_for_complete() {
+    let (one, two) =
+        endpoint_pair_with_first_reply(|| ScriptedReply::CloseAfter(b"HTTP/1.1 200 OK\r\n\r\nhalf".to_vec()));
+    let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&one, &two]);
+    assert_eq!(node.client().request_correct().status(), 502);
+    assert_eq!(one.request_count() + two.request_count(), 1);
+}
+
+#[test]
+fn a_connection_that_closed_while_idle_fails_no_request() {
+    // Each connection closes after its first response, and no header says so.
+    let endpoint = ScriptedEndpoint::start(|_| {
+        ScriptedReply::CloseAfter(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_vec())
+    });
+    let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&endpoint]);
+    for connection in 0..5 {
+        assert_eq!(node.client().request_correct().status(), 200);
+        assert_eq!(endpoint.next_closed(), connection);
+        // The node learns of the close before the next request.
+        wait_for_idle_connection();
+    }
+}
+
+/// What is known of an endpoint does not hold for the next one at its address.
+#[test]
+fn a_new_endpoint_at_the_address_of_a_removed_one_starts_afresh() {
+    let endpoint = ScriptedEndpoint::start(|_| ok(""));
+    let (node, mut watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&endpoint]);
+    let mut client = node.client();
+    for number in 0..5 {
+        assert_eq!(client.request_read().status(), 200);
+        assert_eq!(endpoint.next_request().connection, number, "no connection of the endpoint before");
+        let (old, new) = (format!("s-{number}"), format!("s-{}", number + 1));
+        let changes =
+            [entry(&old, endpoint.address, "terminated"), entry(&new, endpoint.address, "in_service")];
+        watch.send_line(&list(9 + number as u64, false, &changes));
+        assert_eq!(endpoint.next_closed(), number);
+    }
+}
