Split startup, signals and reload from main, and type the configuration's errors

main.rs did four jobs, and the configuration's errors were strings. Now signals.rs installs the handlers, reload.rs acts on SIGHUP, startup.rs builds and connects the parts, and main.rs starts the runtime. ConfigError and NodeError name key and cause; what is printed is still one line beginning "bad configuration".

--- /dev/null
+++ b/crates/node/src/config/error.rs
@@ -0,0 +1,54 @@
+//! Why a configuration cannot be used.
+
+use std::io;
+use std::num::ParseIntError;
+use std::path::PathBuf;
+use thiserror::Error;
+
+/// A configuration that cannot be used. The text is one line, as the log takes it.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// The environment does not name a file.
+    #[error("bad configuration: {variable} is not set")]
+    NotSet {
+        /// The environment variable.
+        variable: &'static str,
+    },
+    /// The file cannot be read.
+    #[error("bad configuration: cannot read {}: {cause}", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// Why not.
+        #[source]
+        cause: io::Error,
+    },
+    /// The file is not JSON, or a key is missing or of the wrong type; the cause names it.
+    #[error("bad configuration: {0}")]
+    Malformed(#[from] serde_json::Error),
+    /// `seed` is not a hexadecimal number of 64 bits.
+    #[error("bad configuration: seed: {0}")]
+    InvalidSeed(#[from] ParseIntError),
+    /// `settings` does not suit the balancer.
+    #[error("bad configuration: {cause}")]
+    InvalidSettings {
+        /// What the balancer's reader says.
+        cause: String,
+    },
+    /// The names under a key of `settings` are empty or repeated, so that one name could mean two things.
+    #[error("bad configuration: {key}: a name is empty or stands twice in {names:?}")]
+    InvalidNames {
+        /// The key.
+        key: &'static str,
+        /// All names under it.
+        names: Vec<String>,
+    },
+    /// `limits.sockets` leaves no connection for clients or endpoints.
+    #[error("bad configuration: limits.sockets: {sockets} sockets are too few: {least} at least")]
+    TooFewSockets {
+        /// How many are configured.
+        sockets: usize,
+        /// How many are needed.
+        least: usize,
+    },
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,5 +1,9 @@
-//! One real node: clients on one side, backends and discovery on the other, the decision module between.
-//! This file reads the configuration, starts the parts and sees to signals.
+//! One node: clients downstream, endpoints upstream, discovery for the list of endpoints, and between them the
+//! dispatcher, which owns the balancer.
+//!
+//! Dependencies run one way: `main` and [`startup`] know every part; [`downstream`], [`dispatcher`], [`upstream`] and
+//! [`discovery`] know only what they share ([`message`], [`limits`], [`socket`], [`memory_budget`], [`clock`],
+//! [`logging`]). Only [`startup`] and [`reload`] know the configuration.
 
 mod clock;
 mod config;
@@ -10,92 +14,29 @@
 mod logging;
 mod memory_budget;
 mod message;
+mod reload;
 mod request_table;
+mod signals;
 mod socket;
+mod startup;
 mod upstream;
 
-use clock::Clock;
-use config::Config;
-use logging::log;
-use std::net::SocketAddr;
+use startup::NodeError;
 use std::process::ExitCode;
-use std::rc::Rc;
-use tokio::net::TcpListener;
-use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 
-/// Messages to the node that may wait. Each client connection keeps one place for its leaving.
-const MESSAGES: usize = 4096;
-
 fn main() -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("cannot start: {e}"));
-    let ended = runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run()));
-    if let Err(what) = &ended {
-        log(what);
+    let result = run();
+    if let Err(error) = &result {
+        logging::log(error);
     }
     logging::flush();
-    if ended.is_ok() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    if result.is_ok() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-async fn run() -> Result<(), String> {
-    // Before all else: a signal that comes without its handler ends the process.
-    let listen = |kind| signal(kind).map_err(|e| format!("cannot listen for signals: {e}"));
-    let hang_up = listen(SignalKind::hangup())?;
-    let (mut terminate, mut interrupt) = (listen(SignalKind::terminate())?, listen(SignalKind::interrupt())?);
-    let config = Rc::new(Config::from_env()?);
-    let listener = TcpListener::bind(config.listen).await;
-    let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-
-    let clock = Clock::start();
-    let (messages, mut inbox) = mpsc::channel(MESSAGES);
-    let (orders, discovery_orders) = mpsc::channel(16);
-    let (moves, moved) = watch::channel(config.discovery);
-    let budget = memory_budget::Budget::new(config.body_bytes);
-    let pool = upstream::pool::Pool::start(clock, &config, upstream::pool::REST);
-    let upstream = upstream::attempt::Upstream::new(clock, &config, budget.clone(), pool);
-    let discovery = discovery::Discovery::new(&config, messages.clone());
-    let ready = discovery.ready();
-    let mut node = dispatcher::Dispatcher::new(clock, &config, upstream, messages.clone(), orders);
-    let front = downstream::Front::new(clock, &config, budget, messages, ready);
-    let mut node = tokio::task::spawn_local(async move { node.run(&mut inbox).await });
-    let mut discovery = tokio::task::spawn_local(discovery.run(discovery_orders, moved));
-    tokio::task::spawn_local(reload(hang_up, config.clone(), moves));
-    let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
-    log(format_args!("{} listens on {address}", config.name));
-
-    let stop = async {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-    };
-    tokio::select! {
-        () = front.run(listener, stop) => Ok(()),
-        ended = &mut node => Err(format!("the node ended: {ended:?}")),
-        ended = &mut discovery => Err(format!("discovery ended: {ended:?}")),
-    }
-}
-
-/// Reads the configuration again at each SIGHUP. Discovery's address is all that can change in a node that
-/// runs; a file that can't be used changes nothing.
-async fn reload(mut hang_up: Signal, started: Rc<Config>, moves: watch::Sender<SocketAddr>) {
-    while hang_up.recv().await.is_some() {
-        let new = match Config::from_env() {
-            Ok(new) => new,
-            Err(what) => {
-                log(format_args!("{what}; the configuration stays as it was"));
-                continue;
-            }
-        };
-        let fixed = started.fixed_that_differ(&new).join(", ");
-        if !fixed.is_empty() {
-            log(format_args!("changed in the configuration, but only a restart takes it in: {fixed}"));
-        }
-        let moved =
-            moves.send_if_modified(|address| std::mem::replace(address, new.discovery) != new.discovery);
-        let what = if moved { "moved to" } else { "stays at" };
-        log(format_args!("configuration read again: discovery {what} {}", new.discovery));
-    }
+/// Runs the node on this thread alone: its parts share state without locks.
+fn run() -> Result<(), NodeError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(NodeError::Runtime)?;
+    LocalSet::new().block_on(&runtime, startup::run())
 }
--- /dev/null
+++ b/crates/node/src/startup.rs
@@ -0,0 +1,92 @@
+//! Builds the parts of the node from the configuration, connects them, and runs them until shutdown.
+
+use crate::clock::Clock;
+use crate::config::{Config, ConfigError};
+use crate::discovery::Discovery;
+use crate::dispatcher::Dispatcher;
+use crate::downstream;
+use crate::logging::log;
+use crate::memory_budget::Budget;
+use crate::reload::reload_on_signal;
+use crate::signals::Signals;
+use crate::upstream::attempt::Upstream;
+use crate::upstream::pool::{Pool, REST};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinError, spawn_local};
+
+/// Messages to the dispatcher that may wait. Each client's request reserves one place for its disconnect.
+const MESSAGE_QUEUE: usize = 4096;
+/// Commands to discovery that may wait.
+const DISCOVERY_QUEUE: usize = 16;
+
+/// Why the node could not start, or ended before it was asked to.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// There is no runtime.
+    #[error("cannot start: {0}")]
+    Runtime(#[source] io::Error),
+    /// The signal handlers could not be installed.
+    #[error("cannot listen for signals: {0}")]
+    Signals(#[source] io::Error),
+    /// The configuration cannot be used.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// The address for clients cannot be listened on.
+    #[error("cannot listen on {address}: {cause}")]
+    Bind {
+        /// The configured address.
+        address: SocketAddr,
+        /// Why not.
+        #[source]
+        cause: io::Error,
+    },
+    /// The address that is listened on cannot be found out.
+    #[error("cannot listen: {0}")]
+    LocalAddress(#[source] io::Error),
+    /// The dispatcher's task has ended.
+    #[error("the node ended: {0:?}")]
+    DispatcherEnded(Result<(), JoinError>),
+    /// Discovery's task has ended.
+    #[error("discovery ended: {0:?}")]
+    DiscoveryEnded(Result<(), JoinError>),
+}
+
+/// Runs a node from its configuration to the end of its graceful shutdown.
+pub async fn run() -> Result<(), NodeError> {
+    let signals = Signals::install().map_err(NodeError::Signals)?;
+    let config = Rc::new(Config::from_env()?);
+    let listener = bind(config.listen).await?;
+
+    let clock = Clock::start();
+    let (messages, mut inbox) = mpsc::channel(MESSAGE_QUEUE);
+    let (discovery_commands, discovery_inbox) = mpsc::channel(DISCOVERY_QUEUE);
+    let (address_sender, discovery_address) = watch::channel(config.discovery);
+    let budget = Budget::new(config.body_bytes);
+    let pool = Pool::start(clock, &config, REST);
+    let upstream = Upstream::new(clock, &config, budget.clone(), pool);
+    let discovery = Discovery::new(&config, messages.clone());
+    let is_ready = discovery.ready();
+    let mut dispatcher = Dispatcher::new(clock, &config, upstream, messages.clone(), discovery_commands);
+    let downstream = downstream::Front::new(clock, &config, budget, messages, is_ready);
+
+    let mut dispatcher = spawn_local(async move { dispatcher.run(&mut inbox).await });
+    let mut discovery = spawn_local(discovery.run(discovery_inbox, discovery_address));
+    spawn_local(reload_on_signal(signals.reload, config.clone(), address_sender));
+    let address = listener.local_addr().map_err(NodeError::LocalAddress)?;
+    log(format_args!("{} listens on {address}", config.name));
+
+    tokio::select! {
+        () = downstream.run(listener, signals.shutdown.recv()) => Ok(()),
+        result = &mut dispatcher => Err(NodeError::DispatcherEnded(result)),
+        result = &mut discovery => Err(NodeError::DiscoveryEnded(result)),
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(address).await.map_err(|cause| NodeError::Bind { address, cause })
+}
