Split the downstream side by concern, with its own options and typed errors

One file held the accept loop, the life of connections, the reading and admission of requests, the ids in flight and the responses, and took the whole configuration. Each is a module now: listener, connection, registry, server, handler, request_parser, request_body, request_error, open_calls, response and phase. RequestError knows its status and text, which a new test pins as they were. downstream::Options is built in startup.rs. Request and connection ids are counted separately; nothing depends on it.

--- /dev/null
+++ b/crates/node/src/downstream/connection.rs
@@ -0,0 +1,154 @@
+//! The state of a client's connection, and the timeouts that follow from it.
+
+use crate::socket::Handle;
+use std::cell::Cell;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// How long a client may take from the accept, or from the first byte of a later request, to the last byte of that
+/// request. With the interval at which timeouts are enforced, a slow client is closed within 3 s.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a connection without a request is kept: its client may send another.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long a client may take to end a connection that is closing.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What a connection is doing.
+#[derive(Clone, Copy, PartialEq)]
+enum State {
+    /// No request's head has been read since then.
+    Idle { since: Instant },
+    /// A request's head has been read, and its response has not been given.
+    Serving,
+    /// No more requests are served; the client is to end the connection.
+    Closing { since: Instant },
+}
+
+/// How soon an idle connection is evicted, the least first: those that never sent a request, then those that have
+/// been idle for longest. A crowd of silent clients does not displace those that are served.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EvictionRank {
+    has_sent_request: bool,
+    idle_since: Instant,
+}
+
+/// A client's connection.
+pub struct Connection {
+    socket: Handle,
+    accepted: Instant,
+    /// Whether it has ever sent a request's head that could be read.
+    has_sent_request: Cell<bool>,
+    state: Cell<State>,
+    shutdown: Notify,
+    abort: Notify,
+}
+
+impl Connection {
+    /// A connection that has just been accepted.
+    pub fn new(socket: Handle) -> Self {
+        let accepted = Instant::now();
+        Connection {
+            socket,
+            accepted,
+            has_sent_request: Cell::new(false),
+            state: Cell::new(State::Idle { since: accepted }),
+            shutdown: Notify::new(),
+            abort: Notify::new(),
+        }
+    }
+
+    /// A request's head has been read. Returns when the whole request must have been read.
+    pub fn begin_request(&self) -> Instant {
+        let started = self.request_started();
+        self.has_sent_request.set(true);
+        self.state.set(State::Serving);
+        started.unwrap_or_else(Instant::now) + READ_TIMEOUT
+    }
+
+    /// The request has its response, after which the connection is kept.
+    pub fn end_request(&self) {
+        self.socket.listen_anew();
+        self.state.set(State::Idle { since: Instant::now() });
+    }
+
+    /// The request has its response, which is the last on this connection.
+    pub fn end_last_request(&self) {
+        self.socket.listen_anew();
+        self.state.set(State::Closing { since: Instant::now() });
+    }
+
+    /// When the request that is being read started: the first with the accept, a later one with its first byte.
+    fn request_started(&self) -> Option<Instant> {
+        if self.has_sent_request.get() { self.socket.heard() } else { Some(self.accepted) }
+    }
+
+    /// Closes the connection between requests; it is aborted if its client does not end it in time.
+    pub fn close(&self) {
+        self.state.set(State::Closing { since: Instant::now() });
+        self.shut_down_gracefully();
+    }
+
+    /// Asks the HTTP layer to end the connection as soon as it can.
+    pub fn shut_down_gracefully(&self) {
+        self.shutdown.notify_one();
+    }
+
+    /// Ends the connection at once.
+    pub fn abort(&self) {
+        self.abort.notify_one();
+    }
+
+    /// Waits until the connection is to be ended gracefully.
+    pub async fn shutdown_requested(&self) {
+        self.shutdown.notified().await;
+    }
+
+    /// Waits until the connection is to be ended at once.
+    pub async fn abort_requested(&self) {
+        self.abort.notified().await;
+    }
+
+    /// Ends once the client has disconnected while its request was being served. Otherwise the HTTP layer notices.
+    pub async fn client_disconnected(&self) {
+        self.socket.left().await;
+        if self.state.get() != State::Serving {
+            std::future::pending().await
+        }
+    }
+
+    /// Aborts or closes the connection if a timeout has passed. A request may have come in time and still wait to be
+    /// read, if this node was held up itself: then it is served, so unread bytes prevent the abort.
+    pub fn enforce_timeouts(&self, now: Instant) {
+        let is_read_late = self.request_started().is_some_and(|started| now > started + READ_TIMEOUT);
+        match self.state.get() {
+            State::Closing { since } if now > since + LINGER_TIMEOUT => self.abort(),
+            State::Idle { .. } if is_read_late && self.socket.is_quiet() => self.abort(),
+            State::Idle { since } if !is_read_late && now > since + IDLE_TIMEOUT => self.close(),
+            State::Idle { .. } | State::Serving | State::Closing { .. } => {}
+        }
+    }
+
+    /// Since when the connection has been closing, if it is.
+    pub fn closing_since(&self) -> Option<Instant> {
+        match self.state.get() {
+            State::Closing { since } => Some(since),
+            State::Idle { .. } | State::Serving => None,
+        }
+    }
+
+    /// The rank of a connection on which no request has begun, as far as this node has read.
+    pub fn eviction_rank(&self) -> Option<EvictionRank> {
+        match self.state.get() {
+            State::Idle { since } if self.socket.heard().is_none() => {
+                Some(EvictionRank { has_sent_request: self.has_sent_request.get(), idle_since: since })
+            }
+            State::Idle { .. } | State::Serving | State::Closing { .. } => None,
+        }
+    }
+
+    /// Whether no bytes wait to be read. This asks the kernel, unlike [`Self::eviction_rank`].
+    pub fn has_nothing_to_read(&self) -> bool {
+        self.socket.is_quiet()
+    }
+}
--- /dev/null
+++ b/crates/node/src/downstream/handler.rs
@@ -0,0 +1,207 @@
+//! Handles one request: checks and reads it, admits it, and waits for its final answer.
+
+use super::open_calls::OpenCalls;
+use super::options::Options;
+use super::phase::Phase;
+use super::request_body;
+use super::request_error::RequestError;
+use super::request_parser::{self, ParsedRequest};
+use super::response::{self, FullResponse};
+use crate::clock::Clock;
+use crate::limits::MAX_BODY_BYTES;
+use crate::logging::log_peer;
+use crate::memory_budget::Budget;
+use crate::message::{FinalAnswer, ForwardedRequest, IncomingRequest, Message};
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::{Request, StatusCode};
+use ottertiller_balancer::{NewRequest, RequestId};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+/// Where the node is asked whether it is ready.
+const READINESS_PATH: &str = "/health/ready";
+/// How much of a rejected request's body is read, so that its client sees the response.
+const MAX_DISCARDED_BYTES: usize = 16 * MAX_BODY_BYTES;
+/// And for how long: half the time after which a closing connection is aborted.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Handles the requests of all connections.
+pub struct RequestHandler {
+    clock: Clock,
+    options: Options,
+    /// Memory for bodies of requests and responses.
+    budget: Budget,
+    dispatcher: mpsc::Sender<Message>,
+    /// Whether the node has an endpoint list.
+    is_ready: Rc<Cell<bool>>,
+    phase: Rc<Cell<Phase>>,
+    open_calls: OpenCalls,
+    last_request_id: Cell<u64>,
+}
+
+/// What a request's head asks for.
+enum Target {
+    /// Whether the node is ready.
+    Readiness,
+    /// A call to be forwarded.
+    Call(Box<ParsedRequest>),
+}
+
+impl RequestHandler {
+    /// A handler that passes admitted requests to the dispatcher.
+    pub fn new(
+        clock: Clock,
+        options: Options,
+        budget: Budget,
+        dispatcher: mpsc::Sender<Message>,
+        is_ready: Rc<Cell<bool>>,
+        phase: Rc<Cell<Phase>>,
+    ) -> Self {
+        RequestHandler {
+            clock,
+            options,
+            budget,
+            dispatcher,
+            is_ready,
+            phase,
+            open_calls: OpenCalls::default(),
+            last_request_id: Cell::new(0),
+        }
+    }
+
+    /// Handles a request whose body must have been read by the deadline. After an error the connection cannot carry
+    /// another request.
+    pub async fn handle(
+        &self,
+        request: Request<Incoming>,
+        read_deadline: Instant,
+    ) -> Result<FullResponse, RequestError> {
+        let (head, body) = request.into_parts();
+        match self.parse(head, &body) {
+            Ok(Target::Readiness) => Ok(self.readiness()),
+            Ok(Target::Call(request)) => self.handle_call(*request, body, read_deadline).await,
+            Err(error) => {
+                let deadline = Instant::now() + DISCARD_TIMEOUT;
+                spawn_local(request_body::discard(body, MAX_DISCARDED_BYTES, deadline));
+                Err(error)
+            }
+        }
+    }
+
+    fn parse(&self, head: Parts, body: &Incoming) -> Result<Target, RequestError> {
+        let body_length = request_parser::body_length(&head, body)?;
+        if head.uri.path() == READINESS_PATH {
+            return Ok(Target::Readiness);
+        }
+        let request = request_parser::parse(&self.options, head, body_length)?;
+        Ok(Target::Call(Box::new(request)))
+    }
+
+    fn readiness(&self) -> FullResponse {
+        let is_ready = self.is_ready.get() && !self.phase.get().is_draining();
+        response::empty(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+    }
+
+    async fn handle_call(
+        &self,
+        request: ParsedRequest,
+        body: Incoming,
+        read_deadline: Instant,
+    ) -> Result<FullResponse, RequestError> {
+        let Some(lease) = self.budget.lease(request.body_length) else {
+            log_peer("no room for a request's body: refused");
+            return Ok(response::shed(self.options.max_retry_after));
+        };
+        let body = request_body::read(body, request.body_length, lease, read_deadline).await?;
+        if self.phase.get().sheds_requests() {
+            return Ok(response::shed(self.options.max_retry_after));
+        }
+        let received = self.clock.now();
+        // The attempts of two requests with the same id could be taken for one another's.
+        let call_id = request.call_id.clone();
+        let _open_call = self.open_calls.open(&call_id).ok_or(RequestError::CallInFlight)?;
+        let answer = self.dispatch(request, body, received).await;
+        Ok(response::final_answer(answer))
+    }
+
+    /// Passes a request to the dispatcher, and waits for its final answer.
+    async fn dispatch(&self, request: ParsedRequest, body: Bytes, received: Duration) -> FinalAnswer {
+        let id = self.next_request_id();
+        let (reply, answer) = oneshot::channel();
+        // The place for the disconnect is reserved now, since a drop cannot wait for one.
+        let Ok(place) = self.dispatcher.clone().reserve_owned().await else {
+            return FinalAnswer::Failed;
+        };
+        let mut disconnect = DisconnectGuard { id, place: Some(place) };
+        let message = Message::Request(Box::new(incoming_request(id, request, body, received, reply)));
+        if self.dispatcher.send(message).await.is_err() {
+            return FinalAnswer::Failed;
+        }
+        let answer = answer.await.unwrap_or(FinalAnswer::Failed);
+        disconnect.disarm();
+        answer
+    }
+
+    fn next_request_id(&self) -> RequestId {
+        let id = self.last_request_id.get() + 1;
+        self.last_request_id.set(id);
+        RequestId(id)
+    }
+}
+
+/// What the dispatcher gets of a request.
+fn incoming_request(
+    id: RequestId,
+    request: ParsedRequest,
+    body: Bytes,
+    received: Duration,
+    reply: oneshot::Sender<FinalAnswer>,
+) -> IncomingRequest {
+    let new = NewRequest {
+        id,
+        class: request.class,
+        tenant: request.tenant,
+        key: request.key,
+        remaining: request.budget,
+        cost_hint: request.cost,
+        client_retry: request.is_client_retry,
+    };
+    let forward = ForwardedRequest {
+        method: request.method,
+        path: request.path,
+        call_id: request.call_id,
+        idempotency_key: request.idempotency_key,
+        body: RefCell::new(Some(body)),
+        deadline: received + request.budget,
+        idempotency_window: request.idempotency_window,
+        first_byte: Cell::new(None),
+    };
+    IncomingRequest { new, received, forward, reply }
+}
+
+/// Reports the client's disconnect unless it is disarmed before: a client that disconnects drops the future that
+/// handles its request, and this with it.
+struct DisconnectGuard {
+    id: RequestId,
+    place: Option<mpsc::OwnedPermit<Message>>,
+}
+
+impl DisconnectGuard {
+    fn disarm(&mut self) {
+        self.place = None;
+    }
+}
+
+impl Drop for DisconnectGuard {
+    fn drop(&mut self) {
+        if let Some(place) = self.place.take() {
+            place.send(Message::ClientDisconnected(self.id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/downstream/options.rs
@@ -0,0 +1,35 @@
+//! What the downstream side takes from the configuration.
+
+use ottertiller_balancer::Idempotency;
+use std::time::Duration;
+
+/// The options of the downstream side.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The most client connections.
+    pub max_connections: usize,
+    /// The classes of requests, in the order of their numbers.
+    pub classes: Vec<RequestClass>,
+    /// The names of the tenants, in the order of their numbers; empty if requests name none.
+    pub tenants: Vec<String>,
+    /// The Retry-After of a request that is shed without asking the balancer; `None` if clients are told none.
+    pub max_retry_after: Option<Duration>,
+}
+
+impl Options {
+    /// The longest that a client of any class waits.
+    pub fn longest_deadline(&self) -> Duration {
+        self.classes.iter().map(|class| class.deadline).max().unwrap_or_default()
+    }
+}
+
+/// A class of requests.
+#[derive(Clone, Debug)]
+pub struct RequestClass {
+    /// The first segment of its paths.
+    pub name: String,
+    /// How far a request may be repeated; this decides its method and headers.
+    pub idempotency: Idempotency,
+    /// How long a client waits.
+    pub deadline: Duration,
+}
--- /dev/null
+++ b/crates/node/src/downstream/registry.rs
@@ -0,0 +1,132 @@
+//! The registry of client connections: their limit, their timeouts, and the eviction of idle ones.
+
+use super::connection::Connection;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep};
+
+/// How often timeouts are enforced.
+const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// How long a closing connection may take before another one's place is needed so much that it is aborted.
+const EVICTION_GRACE: Duration = Duration::from_millis(10);
+
+/// All open client connections.
+pub struct ConnectionRegistry {
+    connections: RefCell<BTreeMap<u64, Rc<Connection>>>,
+    last_id: Cell<u64>,
+    max_connections: usize,
+    /// Notified when a connection has ended, or can be evicted while the registry is full.
+    changed: Notify,
+}
+
+impl ConnectionRegistry {
+    /// An empty registry.
+    pub fn new(max_connections: usize) -> Self {
+        ConnectionRegistry {
+            connections: RefCell::default(),
+            last_id: Cell::new(0),
+            max_connections,
+            changed: Notify::new(),
+        }
+    }
+
+    /// Registers a connection until the guard is dropped.
+    pub fn register(self: &Rc<Self>, connection: Rc<Connection>) -> Registration {
+        let id = self.last_id.get() + 1;
+        self.last_id.set(id);
+        self.connections.borrow_mut().insert(id, connection);
+        Registration { registry: self.clone(), id }
+    }
+
+    /// Whether there is no place for another connection.
+    pub fn is_full(&self) -> bool {
+        self.connections.borrow().len() >= self.max_connections
+    }
+
+    /// A connection has fallen idle: whoever waits for a place may evict it.
+    pub fn notify_idle(&self) {
+        if self.is_full() {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Waits until a connection has ended, or can be evicted.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Waits until no connection is left.
+    pub async fn wait_until_empty(&self) {
+        while !self.connections.borrow().is_empty() {
+            self.changed().await;
+        }
+    }
+
+    /// Makes a place by closing one connection between requests, unless one is closing already.
+    pub fn evict_one(&self) {
+        let connections = self.connections.borrow();
+        let closing = connections.values().filter(|connection| connection.closing_since().is_some());
+        match closing.min_by_key(|connection| connection.closing_since()) {
+            Some(connection) => abort_if_overdue(connection),
+            None => close_first_idle(connections.values()),
+        }
+    }
+
+    /// Asks all idle connections to end. Those with a request close with its response.
+    pub fn shut_down_idle(&self) {
+        let connections = self.connections.borrow();
+        for connection in connections.values() {
+            if connection.eviction_rank().is_some() && connection.has_nothing_to_read() {
+                connection.shut_down_gracefully();
+            }
+        }
+    }
+
+    /// Enforces the timeouts of all connections, forever.
+    pub async fn enforce_timeouts(self: Rc<Self>) {
+        loop {
+            sleep(TIMEOUT_CHECK_INTERVAL).await;
+            let now = Instant::now();
+            for connection in self.connections.borrow().values() {
+                connection.enforce_timeouts(now);
+            }
+        }
+    }
+}
+
+fn abort_if_overdue(closing: &Connection) {
+    let is_overdue = closing.closing_since().is_some_and(|since| Instant::now() > since + EVICTION_GRACE);
+    if is_overdue {
+        closing.abort();
+    }
+}
+
+fn close_first_idle<'a>(connections: impl Iterator<Item = &'a Rc<Connection>>) {
+    let mut idle = Vec::new();
+    for connection in connections {
+        if let Some(rank) = connection.eviction_rank() {
+            idle.push((rank, connection));
+        }
+    }
+    idle.sort_unstable_by_key(|(rank, _)| *rank);
+    // The kernel is asked in this order only, since that takes a system call for each.
+    if let Some((_, connection)) = idle.iter().find(|(_, connection)| connection.has_nothing_to_read()) {
+        connection.close();
+    }
+}
+
+/// The entry of a connection, removed when this is dropped.
+pub struct Registration {
+    registry: Rc<ConnectionRegistry>,
+    id: u64,
+}
+
+impl Drop for Registration {
+    fn drop(&mut self) {
+        self.registry.connections.borrow_mut().remove(&self.id);
+        self.registry.changed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/node/src/downstream/request_error.rs
@@ -0,0 +1,82 @@
+//! Why a request is rejected before it is admitted, and what its client reads of that.
+
+use hyper::StatusCode;
+use thiserror::Error;
+
+/// A request that is not admitted. The text is the body of the response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum RequestError {
+    /// The body's length is not known from the head. With a Content-Length beside it, a Transfer-Encoding may hide
+    /// a second request in the body; no client of the service needs it.
+    #[error("no Transfer-Encoding, please")]
+    TransferEncoding,
+    /// The body has no length.
+    #[error("no length")]
+    UnknownLength,
+    /// The body is longer than the protocol allows.
+    #[error("body over 64 KiB")]
+    BodyTooLarge,
+    /// The target is not a path.
+    #[error("no path")]
+    NoPath,
+    /// The path names no class of requests.
+    #[error("unknown class")]
+    UnknownClass,
+    /// A header that must be unique is repeated.
+    #[error("a header stands twice")]
+    RepeatedHeader,
+    /// The class requires another method.
+    #[error("wrong method for this class")]
+    WrongMethod,
+    /// A GET has a body.
+    #[error("a body where none belongs")]
+    UnexpectedBody,
+    /// The class requires an Idempotency-Key.
+    #[error("no Idempotency-Key")]
+    MissingIdempotencyKey,
+    /// There is no X-Call-Id, or its length is not allowed.
+    #[error("no X-Call-Id")]
+    InvalidCallId,
+    /// There is no X-Budget-Ms, or it is no number within the limits.
+    #[error("no X-Budget-Ms that makes sense")]
+    InvalidBudget,
+    /// X-Caller names no tenant.
+    #[error("unknown tenant")]
+    UnknownTenant,
+    /// The body did not come in time.
+    #[error("too slow")]
+    ReadTimeout,
+    /// The body ended early or could not be read.
+    #[error("broken body")]
+    IncompleteBody,
+    /// Another request with the same X-Call-Id is in flight.
+    #[error("a request with this X-Call-Id is open")]
+    CallInFlight,
+}
+
+impl RequestError {
+    /// The status of the response.
+    pub fn status(self) -> StatusCode {
+        match self {
+            RequestError::TransferEncoding => StatusCode::LENGTH_REQUIRED,
+            RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            RequestError::UnknownClass => StatusCode::NOT_FOUND,
+            RequestError::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
+            RequestError::UnknownTenant => StatusCode::FORBIDDEN,
+            RequestError::ReadTimeout => StatusCode::REQUEST_TIMEOUT,
+            RequestError::CallInFlight => StatusCode::CONFLICT,
+            RequestError::UnknownLength
+            | RequestError::NoPath
+            | RequestError::RepeatedHeader
+            | RequestError::UnexpectedBody
+            | RequestError::MissingIdempotencyKey
+            | RequestError::InvalidCallId
+            | RequestError::InvalidBudget
+            | RequestError::IncompleteBody => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "request_error_tests.rs"]
+mod tests;
--- a/crates/node/src/downstream/request_parser.rs
+++ b/crates/node/src/downstream/request_parser.rs
@@ -1,147 +1,117 @@
-//! What a client's request must be to be taken: the checks of its head, and the reading of its body.
+//! The checks that a request's head must pass to be admitted.
 
+use super::options::{Options, RequestClass};
+use super::request_error::RequestError;
 use crate::limits::MAX_BODY_BYTES;
-use crate::memory_budget::Lease;
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
+use hyper::Method;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
-use hyper::{Method, StatusCode};
 use ottertiller_balancer::Idempotency;
-use ottertiller_balancer::settings::Site;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
 
-const LONGEST_BUDGET_MS: u64 = 600_000;
-const LONGEST_ID: usize = 256;
-/// Headers that may stand once: a backend might read another of them than this node does.
-const ONCE: [&str; 4] = ["x-call-id", "x-budget-ms", "idempotency-key", "x-caller"];
+const CALL_ID: &str = "x-call-id";
+const BUDGET_MS: &str = "x-budget-ms";
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+const CALLER: &str = "x-caller";
+const CALL_COST: &str = "x-call-cost";
+const CLIENT_RETRY: &str = "x-again";
 
-/// Why a request is turned down without being taken: a 4xx, which promises nothing.
-pub type Bad = (StatusCode, &'static str);
+/// Headers that must not be repeated: an endpoint might read another of the values than this node does.
+const UNIQUE_HEADERS: [&str; 4] = [CALL_ID, BUDGET_MS, IDEMPOTENCY_KEY, CALLER];
+const MAX_BUDGET_MS: u64 = 600_000;
+const MAX_CALL_ID_BYTES: usize = 256;
 
-const BAD: StatusCode = StatusCode::BAD_REQUEST;
-
-/// A head that has been checked, in the module's words and in those that go on.
-pub struct Checked {
+/// A request whose head has been checked.
+pub struct ParsedRequest {
+    /// The method, which is forwarded.
     pub method: Method,
+    /// The path and query, which are forwarded.
     pub path: PathAndQuery,
+    /// The X-Call-Id, which is forwarded.
     pub call_id: HeaderValue,
+    /// The Idempotency-Key, which is forwarded.
     pub idempotency_key: Option<HeaderValue>,
+    /// The position of the class among the configured ones.
     pub class: usize,
+    /// The position of the tenant among the configured ones; 0 if none is configured.
     pub tenant: usize,
+    /// The number of what the request is about; 0 for nothing.
     pub key: u64,
+    /// How long the client waits from now on.
     pub budget: Duration,
-    pub window: Option<Duration>,
+    /// How long endpoints remember the idempotency key, if the class has one.
+    pub idempotency_window: Option<Duration>,
+    /// The expected work, where the client knows it.
     pub cost: Option<Duration>,
-    pub client_retry: bool,
-    pub length: usize,
+    /// Whether the client says that it repeats an earlier request.
+    pub is_client_retry: bool,
+    /// The length of the body.
+    pub body_length: usize,
 }
 
-/// Checks how the body is framed, from the head alone: nobody need send it first.
-pub fn length(head: &Parts, body: &Incoming) -> Result<usize, Bad> {
-    // With a Content-Length beside it, it may hide a second request in the body. No client of the service
-    // needs it, so none has to be told apart.
+/// Checks the framing of the body from the head alone: a client that waits to send the body is not kept waiting.
+pub fn body_length(head: &Parts, body: &Incoming) -> Result<usize, RequestError> {
     if head.headers.contains_key(TRANSFER_ENCODING) {
-        return Err((StatusCode::LENGTH_REQUIRED, "no Transfer-Encoding, please"));
+        return Err(RequestError::TransferEncoding);
+    }
+    let length = body.size_hint().exact().ok_or(RequestError::UnknownLength)?;
+    match usize::try_from(length) {
+        Ok(length) if length <= MAX_BODY_BYTES => Ok(length),
+        _ => Err(RequestError::BodyTooLarge),
     }
-    let length = body.size_hint().exact().ok_or((BAD, "no length"))?;
-    let length = usize::try_from(length).ok().filter(|length| *length <= MAX_BODY_BYTES);
-    length.ok_or((StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB"))
 }
 
-/// Reads a head as the protocol words it. What does not fit never reaches a backend.
-pub fn check(site: &Site, head: Parts, length: usize) -> Result<Checked, Bad> {
-    let path = head.uri.path_and_query().ok_or((BAD, "no path"))?.clone();
-    let mut parts = path.path().strip_prefix('/').ok_or((BAD, "no path"))?.split('/');
-    let name = parts.next().unwrap_or_default();
-    let class = site.class_names.iter().position(|known| known == name);
-    let class = class.ok_or((StatusCode::NOT_FOUND, "unknown class"))?;
-    let key = parts.next_back().filter(|key| !key.is_empty()).map_or(0, key_number);
-    let terms = &site.settings.classes[class];
-
-    if ONCE.iter().any(|name| head.headers.get_all(*name).iter().nth(1).is_some()) {
-        return Err((BAD, "a header stands twice"));
-    }
-    let idempotency_key = head.headers.get("idempotency-key").cloned();
-    let method = if terms.idempotency == Idempotency::Idempotent { Method::GET } else { Method::POST };
-    if head.method != method {
-        return Err((StatusCode::METHOD_NOT_ALLOWED, "wrong method for this class"));
-    }
-    if method == Method::GET && length > 0 {
-        return Err((BAD, "a body where none belongs"));
-    }
-    let window = match terms.idempotency {
-        Idempotency::Keyed { window, .. } if idempotency_key.is_some() => Some(window),
-        Idempotency::Keyed { .. } => return Err((BAD, "no Idempotency-Key")),
-        _ => None,
-    };
-    let call_id = head.headers.get("x-call-id").filter(|id| (1..=LONGEST_ID).contains(&id.len()));
-    let call_id = call_id.ok_or((BAD, "no X-Call-Id"))?.clone();
-    let budget = text(&head.headers, "x-budget-ms").and_then(|text| text.parse::<u64>().ok());
-    let budget = budget.filter(|ms| (1..=LONGEST_BUDGET_MS).contains(ms));
-    let budget = Duration::from_millis(budget.ok_or((BAD, "no X-Budget-Ms that makes sense"))?);
-    let caller = text(&head.headers, "x-caller");
-    let tenant = site.tenant_names.iter().position(|known| Some(known.as_str()) == caller);
-    if tenant.is_none() && !site.tenant_names.is_empty() {
-        return Err((StatusCode::FORBIDDEN, "unknown tenant"));
-    }
-    let cost = text(&head.headers, "x-call-cost").and_then(|text| text.parse().ok());
-    Ok(Checked {
-        method,
+/// Parses a head. What does not follow the protocol never reaches an endpoint.
+pub fn parse(options: &Options, head: Parts, body_length: usize) -> Result<ParsedRequest, RequestError> {
+    let path = head.uri.path_and_query().ok_or(RequestError::NoPath)?.clone();
+    let target = parse_target(options, path.path())?;
+    let class = &options.classes[target.class];
+    let headers = &head.headers;
+    check_unique(headers)?;
+    check_method(class, &head.method, body_length)?;
+    let idempotency_key = headers.get(IDEMPOTENCY_KEY).cloned();
+    let idempotency_window = idempotency_window(class, idempotency_key.is_some())?;
+    let call_id = parse_call_id(headers)?;
+    let budget = parse_budget(headers)?;
+    let tenant = parse_tenant(options, headers)?;
+    Ok(ParsedRequest {
+        method: head.method,
         path,
         call_id,
         idempotency_key,
-        class,
-        tenant: tenant.unwrap_or_default(),
-        key,
+        class: target.class,
+        tenant,
+        key: target.key,
         budget,
-        window,
-        cost: cost.map(Duration::from_micros),
-        client_retry: head.headers.get("x-again").is_some_and(|value| value == "1"),
-        length,
+        idempotency_window,
+        cost: parse_cost(headers),
+        is_client_retry: headers.get(CLIENT_RETRY).is_some_and(|value| value == "1"),
+        body_length,
     })
 }
 
-/// Reads a body of that length, for which there is room, before its time is up.
-pub async fn read(mut body: Incoming, length: usize, room: Lease, until: Instant) -> Result<Bytes, Bad> {
-    if length == 0 {
-        return Ok(Bytes::new());
-    }
-    let mut whole = BytesMut::with_capacity(length);
-    while let Some(frame) =
-        timeout_at(until, body.frame()).await.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "too slow"))?
-    {
-        let frame = frame.map_err(|_| (BAD, "broken body"))?;
-        let Ok(data) = frame.into_data() else { continue };
-        whole.extend_from_slice(&data);
-    }
-    if whole.len() != length {
-        return Err((BAD, "broken body"));
-    }
-    Ok(room.keep(whole.freeze()))
-}
-
-/// Reads on after the answer to a bad request, for a while and so far only: closed with bytes unread, the
-/// connection would be reset, and its client might not see the answer.
-pub async fn drain(mut body: Incoming, most: usize, until: Instant) {
-    let mut read = 0;
-    while let Ok(Some(Ok(frame))) = timeout_at(until, body.frame()).await {
-        read += frame.data_ref().map_or(0, Bytes::len);
-        if read > most {
-            return;
-        }
-    }
+/// What a path `/class/.../key` says.
+struct Target {
+    class: usize,
+    key: u64,
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
+fn parse_target(options: &Options, path: &str) -> Result<Target, RequestError> {
+    let mut segments = path.strip_prefix('/').ok_or(RequestError::NoPath)?.split('/');
+    let name = segments.next().unwrap_or_default();
+    let class = options.classes.iter().position(|class| class.name == name);
+    let class = class.ok_or(RequestError::UnknownClass)?;
+    let key = match segments.next_back() {
+        None | Some("") => 0,
+        Some(key) => key_number(key),
+    };
+    Ok(Target { class, key })
 }
 
-/// What a request is about, as the module's number: the same text gives the same number at every node.
+/// The number of a key: the same text gives the same number at every node.
 fn key_number(text: &str) -> u64 {
     u64::from_str_radix(text, 16).unwrap_or_else(|_| {
         let mut hasher = DefaultHasher::new();
@@ -149,3 +119,64 @@
         hasher.finish()
     })
 }
+
+fn check_unique(headers: &HeaderMap) -> Result<(), RequestError> {
+    let is_repeated = |name: &&str| headers.get_all(*name).iter().nth(1).is_some();
+    if UNIQUE_HEADERS.iter().any(is_repeated) {
+        return Err(RequestError::RepeatedHeader);
+    }
+    Ok(())
+}
+
+fn check_method(class: &RequestClass, method: &Method, body_length: usize) -> Result<(), RequestError> {
+    let is_idempotent = class.idempotency == Idempotency::Idempotent;
+    let expected = if is_idempotent { Method::GET } else { Method::POST };
+    if *method != expected {
+        return Err(RequestError::WrongMethod);
+    }
+    if is_idempotent && body_length > 0 {
+        return Err(RequestError::UnexpectedBody);
+    }
+    Ok(())
+}
+
+fn idempotency_window(class: &RequestClass, has_key: bool) -> Result<Option<Duration>, RequestError> {
+    match class.idempotency {
+        Idempotency::Keyed { window, .. } if has_key => Ok(Some(window)),
+        Idempotency::Keyed { .. } => Err(RequestError::MissingIdempotencyKey),
+        Idempotency::Idempotent | Idempotency::NotIdempotent => Ok(None),
+    }
+}
+
+fn parse_call_id(headers: &HeaderMap) -> Result<HeaderValue, RequestError> {
+    match headers.get(CALL_ID) {
+        Some(id) if (1..=MAX_CALL_ID_BYTES).contains(&id.len()) => Ok(id.clone()),
+        _ => Err(RequestError::InvalidCallId),
+    }
+}
+
+fn parse_budget(headers: &HeaderMap) -> Result<Duration, RequestError> {
+    let budget = header_text(headers, BUDGET_MS).and_then(|text| text.parse::<u64>().ok());
+    match budget {
+        Some(ms) if (1..=MAX_BUDGET_MS).contains(&ms) => Ok(Duration::from_millis(ms)),
+        _ => Err(RequestError::InvalidBudget),
+    }
+}
+
+fn parse_tenant(options: &Options, headers: &HeaderMap) -> Result<usize, RequestError> {
+    if options.tenants.is_empty() {
+        return Ok(0);
+    }
+    let caller = header_text(headers, CALLER).ok_or(RequestError::UnknownTenant)?;
+    let tenant = options.tenants.iter().position(|tenant| tenant == caller);
+    tenant.ok_or(RequestError::UnknownTenant)
+}
+
+fn parse_cost(headers: &HeaderMap) -> Option<Duration> {
+    let microseconds = header_text(headers, CALL_COST)?.parse().ok()?;
+    Some(Duration::from_micros(microseconds))
+}
+
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/node/src/downstream/server.rs
@@ -0,0 +1,99 @@
+//! Serves HTTP/1.1 on accepted connections.
+
+use super::connection::Connection;
+use super::handler::RequestHandler;
+use super::phase::Phase;
+use super::registry::ConnectionRegistry;
+use super::response::{self, FullResponse};
+use crate::limits::READ_BUFFER_BYTES;
+use crate::socket::Socket;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+
+/// Serves connections with one request handler.
+pub struct Server {
+    handler: RequestHandler,
+    registry: Rc<ConnectionRegistry>,
+    phase: Rc<Cell<Phase>>,
+}
+
+impl Server {
+    /// A server whose connections are kept in the registry.
+    pub fn new(handler: RequestHandler, registry: Rc<ConnectionRegistry>, phase: Rc<Cell<Phase>>) -> Self {
+        Server { handler, registry, phase }
+    }
+
+    /// The registry of the connections.
+    pub fn registry(&self) -> &ConnectionRegistry {
+        &self.registry
+    }
+
+    /// Serves a connection in a task of its own, until it ends.
+    pub fn serve(self: &Rc<Self>, stream: TcpStream) {
+        let (socket, handle) = Socket::new(stream);
+        let connection = Rc::new(Connection::new(handle));
+        let registration = self.registry.register(connection.clone());
+        let server = self.clone();
+        spawn_local(async move {
+            server.serve_until_ended(socket, &connection).await;
+            drop(registration);
+        });
+    }
+
+    async fn serve_until_ended(&self, socket: Socket, connection: &Connection) {
+        // Biased: what the client has sent comes before its disconnect.
+        tokio::select! {
+            biased;
+            () = self.serve_http(socket, connection) => {}
+            () = connection.abort_requested() => {}
+            () = connection.client_disconnected() => {}
+        }
+    }
+
+    async fn serve_http(&self, socket: Socket, connection: &Connection) {
+        let service = service_fn(|request| self.respond(connection, request));
+        let http = http1::Builder::new()
+            // Its timeout would run on idle connections too: `Connection::enforce_timeouts` tells them apart.
+            .header_read_timeout(None)
+            .max_buf_size(READ_BUFFER_BYTES)
+            .serve_connection(socket, service);
+        let mut http = pin!(http);
+        // Biased: a request that has come is read before the connection is shut down.
+        tokio::select! {
+            biased;
+            _ = http.as_mut() => return,
+            () = connection.shutdown_requested() => {}
+        }
+        http.as_mut().graceful_shutdown();
+        let _ = http.await; // an error says no more than that the client disconnected
+    }
+
+    async fn respond(
+        &self,
+        connection: &Connection,
+        request: Request<Incoming>,
+    ) -> Result<FullResponse, Infallible> {
+        let read_deadline = connection.begin_request();
+        let result = self.handler.handle(request, read_deadline).await;
+        // After a malformed request nobody can tell where the next one begins.
+        let is_last = result.is_err() || self.phase.get().is_draining();
+        let mut response = result.unwrap_or_else(response::rejected);
+        if is_last {
+            connection.end_last_request();
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        } else {
+            connection.end_request();
+        }
+        self.registry.notify_idle();
+        Ok(response)
+    }
+}
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -4,7 +4,7 @@
 use crate::config::{Config, ConfigError};
 use crate::discovery::Discovery;
 use crate::dispatcher::Dispatcher;
-use crate::downstream;
+use crate::downstream::{self, Downstream};
 use crate::logging::log;
 use crate::memory_budget::Budget;
 use crate::reload::reload_on_signal;
@@ -72,7 +72,7 @@
     let discovery = Discovery::new(&config, messages.clone());
     let is_ready = discovery.ready();
     let mut dispatcher = Dispatcher::new(clock, &config, upstream, messages.clone(), discovery_commands);
-    let downstream = downstream::Front::new(clock, &config, budget, messages, is_ready);
+    let downstream = Downstream::new(clock, downstream_options(&config), budget, messages, is_ready);
 
     let mut dispatcher = spawn_local(async move { dispatcher.run(&mut inbox).await });
     let mut discovery = spawn_local(discovery.run(discovery_inbox, discovery_address));
@@ -90,3 +90,18 @@
 async fn bind(address: SocketAddr) -> Result<TcpListener, NodeError> {
     TcpListener::bind(address).await.map_err(|cause| NodeError::Bind { address, cause })
 }
+
+fn downstream_options(config: &Config) -> downstream::Options {
+    let names = config.site.class_names.iter();
+    let classes = names.zip(&config.site.settings.classes).map(|(name, class)| downstream::RequestClass {
+        name: name.clone(),
+        idempotency: class.idempotency,
+        deadline: class.deadline,
+    });
+    downstream::Options {
+        max_connections: config.client_connections,
+        classes: classes.collect(),
+        tenants: config.site.tenant_names.clone(),
+        max_retry_after: config.site.settings.limits.max_retry_after,
+    }
+}
