--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -3,7 +3,7 @@
 
 use super::*;
 use crate::clock::Clock;
-use crate::dispatcher::Dispatcher;
+use crate::dispatcher::{Dispatcher, DispatcherOptions};
 use crate::memory_budget::Budget;
 use crate::upstream::attempt::Upstream;
 use crate::upstream::pool::{Pool, REST};
@@ -97,7 +97,8 @@
         let (_moves, moved) = watch::channel(config.discovery);
         let pool = Pool::start(clock, &config, REST);
         let backends = Upstream::new(clock, &config, Budget::new(1 << 20), pool);
-        let mut node = Dispatcher::new(clock, &config, backends, messages.clone(), orders);
+        let options = DispatcherOptions { settings: config.site.settings.clone(), seed: config.seed };
+        let mut node = Dispatcher::new(clock, options, backends, messages.clone(), orders);
         let node = spawn_local(async move { node.run(&mut inbox).await });
         // The first call is not after a failed one: the failure lasts for so long from there.
         let first = Duration::from_secs(1)
--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -1,13 +1,14 @@
-//! The node itself: the only owner of the [`Balancer`]. One loop takes events in and carries actions out;
-//! it decides nothing. Its request table alone gives final answers, and gives each exactly once.
+//! The dispatcher, the only owner of the [`Balancer`]. Its loop passes events to the balancer and carries out the
+//! actions that come back; it decides nothing itself. Its [`RequestTable`] alone gives final answers, and gives each
+//! request exactly one.
 
 use crate::clock::Clock;
-use crate::config::Config;
 use crate::logging::{log, log_peer};
 use crate::message::{
-    AttemptResult, DiscoveryCommand, FinalAnswer, HealthCheckResult, IncomingRequest, Message, StopReason,
+    AttemptResult, DiscoveryCommand, EndpointListUpdate, FinalAnswer, HealthCheckResult, IncomingRequest,
+    Message, StopReason,
 };
-use crate::request_table::{Due, NewAttempt, RequestTable};
+use crate::request_table::{NewAttempt, RequestTable, Timer};
 use crate::upstream::attempt::{Attempt, Upstream};
 use ottertiller_balancer::*;
 use std::collections::VecDeque;
@@ -17,10 +18,20 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
 
+/// The options of the dispatcher.
+pub struct DispatcherOptions {
+    /// The balancer's settings.
+    pub settings: Settings,
+    /// The seed of the balancer's random choices.
+    pub seed: u64,
+}
+
+/// Runs the balancer, and carries out what it decides.
 pub struct Dispatcher {
     clock: Clock,
     balancer: Balancer,
     upstream: Rc<Upstream>,
+    /// To the dispatcher itself, for the tasks that it spawns.
     messages: mpsc::Sender<Message>,
     discovery: mpsc::Sender<DiscoveryCommand>,
     tick: Duration,
@@ -29,14 +40,15 @@
 }
 
 impl Dispatcher {
+    /// A dispatcher without requests. `messages` leads to the inbox that it will be run with.
     pub fn new(
         clock: Clock,
-        config: &Config,
+        options: DispatcherOptions,
         upstream: Rc<Upstream>,
         messages: mpsc::Sender<Message>,
         discovery: mpsc::Sender<DiscoveryCommand>,
     ) -> Self {
-        let settings = config.site.settings.clone();
+        let settings = options.settings;
         Dispatcher {
             clock,
             upstream,
@@ -44,115 +56,132 @@
             discovery,
             tick: settings.tick,
             max_attempts: settings.limits.max_attempts.max(1) as usize,
-            balancer: Balancer::new(settings, config.seed),
+            balancer: Balancer::new(settings, options.seed),
             requests: RequestTable::default(),
         }
     }
 
+    /// Handles messages and timers until the inbox is closed.
     pub async fn run(&mut self, inbox: &mut mpsc::Receiver<Message>) {
         loop {
-            let due = self.requests.next_due();
-            let wait = sleep_until(self.clock.instant(due.unwrap_or_default()));
+            let next_due = self.requests.next_due();
+            let timer = sleep_until(self.clock.instant(next_due.unwrap_or_default()));
             tokio::select! {
                 message = inbox.recv() => match message {
-                    Some(message) => self.take(message),
+                    Some(message) => self.on_message(message),
                     None => return,
                 },
-                () = wait, if due.is_some() => {}
+                () = timer, if next_due.is_some() => {}
             }
-            self.fire();
+            self.fire_due_timers();
         }
     }
 
-    fn fire(&mut self) {
+    fn fire_due_timers(&mut self) {
         let now = self.clock.now();
-        while let Some(due) = self.requests.pop_due(now) {
-            match due {
-                Due::Balancer(token) => self.decide(Event::Timer { token }),
-                Due::Attempt(id, number) => self.requests.stop_attempt(id, number, StopReason::TimedOut),
-                Due::Deadline(id) => self.overdue(id),
+        while let Some(timer) = self.requests.pop_due(now) {
+            match timer {
+                Timer::Balancer(token) => self.on_event(Event::Timer { token }),
+                Timer::AttemptTimeout(id, number) => {
+                    self.requests.stop_attempt(id, number, StopReason::TimedOut);
+                }
+                Timer::Deadline(id) => self.on_deadline(id),
             }
         }
     }
 
-    fn take(&mut self, message: Message) {
+    fn on_message(&mut self, message: Message) {
         match message {
-            Message::Request(taken) => self.on_request(taken),
-            Message::ClientDisconnected(id) => {
-                if self.requests.abandon(id) {
-                    self.decide(Event::ClientDisconnected { id });
-                }
-            }
-            Message::Attempt(ended) => self.on_attempt(ended),
-            Message::HealthCheck(HealthCheckResult { endpoint, outcome, sent, report }) => {
-                let elapsed = self.clock.now().saturating_sub(sent);
-                self.decide(Event::HealthChecked(HealthCheckEnd { endpoint, outcome, elapsed, report }));
-            }
-            Message::Shutdown => {
-                for id in self.requests.unanswered() {
-                    self.overdue(id);
-                }
-            }
-            Message::EndpointList(update) => {
-                self.upstream.pool.update(update.kind, &update.endpoints);
-                let entries = update.endpoints.into_iter().map(|endpoint| endpoint.entry).collect();
-                self.decide(Event::EndpointList { kind: update.kind, entries });
-            }
+            Message::Request(request) => self.on_request(*request),
+            Message::ClientDisconnected(id) => self.on_client_disconnected(id),
+            Message::AttemptEnded(result) => self.on_attempt_ended(result),
+            Message::HealthCheckEnded(result) => self.on_health_check_ended(result),
+            Message::EndpointList(update) => self.on_endpoint_list(update),
+            Message::Shutdown => self.on_shutdown(),
         }
     }
 
-    fn on_request(&mut self, taken: Box<IncomingRequest>) {
-        let IncomingRequest { mut new, received: at, forward, reply } = *taken;
-        let (id, deadline) = (new.id, forward.deadline);
-        let waited = self.clock.now().saturating_sub(at);
-        new.remaining = new.remaining.saturating_sub(waited);
+    fn on_request(&mut self, incoming: IncomingRequest) {
+        let IncomingRequest { mut request, received, forward, reply } = incoming;
+        let id = request.id;
+        let queued = self.clock.now().saturating_sub(received);
+        request.remaining = request.remaining.saturating_sub(queued);
+        // A tick early: the answer is to reach the client before it stops waiting.
+        let answer_by = forward.deadline.saturating_sub(self.tick);
         self.requests.insert(id, forward, reply);
-        // A tick early: the answer is to be with the client before it gives up.
-        self.requests.set_timer(deadline.saturating_sub(self.tick), Due::Deadline(id));
-        self.decide(Event::Request(new));
-    }
-
-    fn on_attempt(&mut self, ended: AttemptResult) {
-        let Some(attempt) = self.requests.attempt_ended(ended.id, ended.number) else { return };
-        // The first served answer is the client's; a later one only informs the module.
-        let served = ended.body.is_some_and(|body| self.requests.answer(ended.id, FinalAnswer::Served(body)));
-        self.decide(Event::AttemptEnded(AttemptEnd {
-            id: ended.id,
-            attempt: ended.number,
+        self.requests.set_timer(answer_by, Timer::Deadline(id));
+        self.on_event(Event::Request(request));
+    }
+
+    fn on_client_disconnected(&mut self, id: RequestId) {
+        if self.requests.abandon(id) {
+            self.on_event(Event::ClientDisconnected { id });
+        }
+    }
+
+    fn on_attempt_ended(&mut self, result: AttemptResult) {
+        let AttemptResult { id, number, outcome, report, body } = result;
+        let Some(attempt) = self.requests.attempt_ended(id, number) else { return };
+        // The first response that was served is the final answer; a later one only informs the balancer.
+        let answers_now = match body {
+            Some(body) => self.requests.answer(id, FinalAnswer::Served(body)),
+            None => false,
+        };
+        self.on_event(Event::AttemptEnded(AttemptEnd {
+            id,
+            attempt: number,
             endpoint: attempt.endpoint,
-            outcome: ended.outcome,
-            elapsed: self.clock.now().saturating_sub(attempt.sent),
-            finished: attempt.answered || served,
-            report: ended.report,
+            outcome,
+            elapsed: self.clock.now().saturating_sub(attempt.started),
+            finished: attempt.was_answered || answers_now,
+            report,
         }));
     }
 
-    /// Whatever the module does, nobody is left without an answer at the deadline.
-    fn overdue(&mut self, id: RequestId) {
+    fn on_health_check_ended(&mut self, result: HealthCheckResult) {
+        let HealthCheckResult { endpoint, outcome, started, report } = result;
+        let elapsed = self.clock.now().saturating_sub(started);
+        self.on_event(Event::HealthChecked(HealthCheckEnd { endpoint, outcome, elapsed, report }));
+    }
+
+    fn on_endpoint_list(&mut self, update: EndpointListUpdate) {
+        self.upstream.pool.update(update.kind, &update.endpoints);
+        let entries = update.endpoints.into_iter().map(|endpoint| endpoint.entry).collect();
+        self.on_event(Event::EndpointList { kind: update.kind, entries });
+    }
+
+    fn on_shutdown(&mut self) {
+        for id in self.requests.unanswered() {
+            self.on_deadline(id);
+        }
+    }
+
+    /// Whatever the balancer does, no request is left without an answer at its deadline.
+    fn on_deadline(&mut self, id: RequestId) {
         if self.requests.answer(id, FinalAnswer::TimedOut) {
             log_peer(format_args!("request {} was unanswered when its time was up: failed", id.0));
-            self.decide(Event::ClientDisconnected { id });
+            self.on_event(Event::ClientDisconnected { id });
         }
     }
 
-    /// Lets the module decide, and carries out what it says.
-    fn decide(&mut self, event: Event) {
+    /// Passes an event to the balancer, and carries out the actions that follow, with the events that these cause.
+    fn on_event(&mut self, event: Event) {
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
             let mut actions = Vec::new();
             self.balancer.handle(self.clock.now(), event, &mut actions);
             for action in actions {
-                if let Some(event) = self.act(action) {
-                    events.push_back(event);
-                }
+                events.extend(self.execute(action));
             }
         }
     }
 
-    /// Carries out an action. An attempt that can't even start ends at once, with the event returned.
-    fn act(&mut self, action: Action) -> Option<Event> {
+    /// Carries out an action. An attempt that cannot even start ends at once, with the event returned.
+    fn execute(&mut self, action: Action) -> Option<Event> {
         match action {
-            Action::StartAttempt { id, endpoint, timeout } => return self.send(id, endpoint, timeout),
+            Action::StartAttempt { id, endpoint, timeout } => {
+                return self.start_attempt(id, endpoint, timeout);
+            }
             Action::Shed { id, retry_after } => {
                 self.requests.answer(id, FinalAnswer::Shed(retry_after));
             }
@@ -160,69 +189,77 @@
                 self.requests.answer(id, FinalAnswer::Failed);
             }
             Action::CancelAttempt { id, attempt } => {
-                self.requests.stop_attempt(id, attempt, StopReason::Cancelled)
+                self.requests.stop_attempt(id, attempt, StopReason::Cancelled);
             }
             Action::SetTimer { after, token } => {
-                self.requests.set_timer(self.clock.now() + after, Due::Balancer(token));
+                self.requests.set_timer(self.clock.now() + after, Timer::Balancer(token));
             }
-            Action::HealthCheck { endpoint } => self.probe(endpoint),
+            Action::HealthCheck { endpoint } => self.start_health_check(endpoint),
             Action::CloseIdleConnections { endpoint } => self.upstream.pool.close_idle(endpoint),
-            Action::Subscribe { enabled } => self.order(DiscoveryCommand::Subscribe(enabled)),
-            Action::FetchEndpointList => self.order(DiscoveryCommand::Fetch),
-            // No message between nodes: the module sends none, and the site allows none.
+            Action::Subscribe { enabled } => self.command_discovery(DiscoveryCommand::Subscribe(enabled)),
+            Action::FetchEndpointList => self.command_discovery(DiscoveryCommand::Fetch),
+            // Nodes exchange no messages: the balancer sends none, and the protocol allows none.
             Action::SendToPeer { .. } => log("a message to another node was dropped"),
             Action::Log { text } => log(text),
         }
         None
     }
 
-    fn send(&mut self, id: RequestId, endpoint: EndpointId, timeout: Duration) -> Option<Event> {
+    fn start_attempt(&mut self, id: RequestId, endpoint: EndpointId, timeout: Duration) -> Option<Event> {
         let now = self.clock.now();
-        let (number, forward) = match self.requests.new_attempt(id, endpoint, now, self.max_attempts)? {
-            NewAttempt::Permitted { number, forward } => (number, forward),
-            NewAttempt::Refused { number, answered } => {
-                return Some(Event::AttemptEnded(AttemptEnd {
-                    id,
-                    attempt: number,
-                    endpoint,
-                    outcome: Outcome::NotSent,
-                    elapsed: Duration::ZERO,
-                    finished: answered,
-                    report: None,
-                }));
+        match self.requests.new_attempt(id, endpoint, now, self.max_attempts)? {
+            NewAttempt::Permitted { number, forward } => {
+                let until = attempt_end(now, timeout, forward.deadline);
+                self.spawn_attempt(now, Attempt { id, number, endpoint, until, forward });
+                None
             }
-        };
-        let deadline = forward.deadline;
-        let until = if timeout.is_zero() { deadline } else { deadline.min(now + timeout) };
+            NewAttempt::Refused { number, is_answered } => Some(Event::AttemptEnded(AttemptEnd {
+                id,
+                attempt: number,
+                endpoint,
+                outcome: Outcome::NotSent,
+                elapsed: Duration::ZERO,
+                finished: is_answered,
+                report: None,
+            })),
+        }
+    }
+
+    fn spawn_attempt(&mut self, now: Duration, attempt: Attempt) {
         let (stop, stopped) = oneshot::channel();
-        self.requests.attempt_started(id, endpoint, now, stop);
-        self.requests.set_timer(until, Due::Attempt(id, number));
-        let attempt = Attempt { id, number, endpoint, until, forward };
-        let (upstream, messages) = (self.upstream.clone(), self.messages.clone());
+        self.requests.attempt_started(attempt.id, attempt.endpoint, now, stop);
+        self.requests.set_timer(attempt.until, Timer::AttemptTimeout(attempt.id, attempt.number));
+        let upstream = self.upstream.clone();
+        let messages = self.messages.clone();
         spawn_local(async move {
-            let ended = upstream.attempt(attempt, stopped).await;
-            let _ = messages.send(Message::Attempt(ended)).await; // fails only when the node has ended
+            let result = upstream.attempt(attempt, stopped).await;
+            let _ = messages.send(Message::AttemptEnded(result)).await; // fails only when the dispatcher has ended
         });
-        None
     }
 
-    fn probe(&mut self, endpoint: EndpointId) {
-        let (sent, upstream, messages) = (self.clock.now(), self.upstream.clone(), self.messages.clone());
+    fn start_health_check(&mut self, endpoint: EndpointId) {
+        let started = self.clock.now();
+        let upstream = self.upstream.clone();
+        let messages = self.messages.clone();
         spawn_local(async move {
             let (outcome, report) = upstream.probe(endpoint).await;
-            let _ = messages
-                .send(Message::HealthCheck(HealthCheckResult { endpoint, outcome, sent, report }))
-                .await;
+            let result = HealthCheckResult { endpoint, outcome, started, report };
+            let _ = messages.send(Message::HealthCheckEnded(result)).await; // as above
         });
     }
 
-    fn order(&mut self, order: DiscoveryCommand) {
-        if self.discovery.try_send(order).is_err() {
+    fn command_discovery(&mut self, command: DiscoveryCommand) {
+        if self.discovery.try_send(command).is_err() {
             log("discovery has too much to do: a call was dropped");
         }
     }
 }
 
+/// When an attempt that starts now is stopped: at its timeout, if it has one, but at the deadline at the latest.
+fn attempt_end(now: Duration, timeout: Duration, deadline: Duration) -> Duration {
+    if timeout.is_zero() { deadline } else { deadline.min(now + timeout) }
+}
+
 #[cfg(test)]
 #[path = "dispatcher_tests.rs"]
 mod tests;
--- a/crates/node/src/dispatcher_tests.rs
+++ b/crates/node/src/dispatcher_tests.rs
@@ -1,20 +1,23 @@
-//! What a node holds for a request is gone once the request is finished, whatever event finished it. Time is the
-//! runtime's own here, and moves on only when everything waits.
+//! Nothing that belongs to a request outlives it, whatever event finished it. Time is virtual: it moves on only when
+//! every task waits.
+
+#[path = "dispatcher_tests/scripted_endpoint.rs"]
+mod scripted_endpoint;
 
 use super::*;
+use crate::config::Config;
 use crate::memory_budget::Budget;
-use crate::message::{EndpointListUpdate, ForwardedRequest, ListedEndpoint};
+use crate::message::{ForwardedRequest, ListedEndpoint};
 use crate::request_table::Usage;
 use crate::upstream::pool::{Pool, REST};
 use bytes::Bytes;
 use hyper::Method;
 use hyper::header::HeaderValue;
 use hyper::http::uri::PathAndQuery;
+use scripted_endpoint::listed;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
@@ -22,7 +25,7 @@
 const BODY: usize = 512;
 const TARGET: Duration = Duration::from_millis(200);
 const DEADLINE: Duration = Duration::from_millis(400);
-/// Longer than any deadline, time-out and rest.
+/// Longer than any deadline, timeout and rest of a connection.
 const SETTLED: Duration = Duration::from_secs(5);
 
 const READ: usize = 0;
@@ -48,66 +51,69 @@
     Config::parse(&text).expect("a valid configuration")
 }
 
-/// A node, and what its front and discovery would hold.
+/// A dispatcher under test, and the parts around it.
 struct Host {
-    node: Dispatcher,
+    dispatcher: Dispatcher,
     inbox: mpsc::Receiver<Message>,
-    front: Front,
+    peers: Peers,
 }
 
-struct Front {
+/// Sends what the downstream side and discovery would send.
+struct Peers {
     clock: Clock,
     messages: mpsc::Sender<Message>,
     budget: Budget,
-    requests: Cell<u64>,
+    last_id: Cell<u64>,
 }
 
 impl Host {
     fn start(config: &Config) -> Self {
         let clock = Clock::start();
         let (messages, inbox) = mpsc::channel(4096);
-        let (orders, _) = mpsc::channel(16);
+        let (discovery, _) = mpsc::channel(16);
         let budget = Budget::new(BUDGET);
         let pool = Pool::start(clock, config, REST);
         let upstream = Upstream::new(clock, config, budget.clone(), pool);
-        let node = Dispatcher::new(clock, config, upstream, messages.clone(), orders);
-        Host { node, inbox, front: Front { clock, messages, budget, requests: Cell::new(0) } }
+        let options = DispatcherOptions { settings: config.site.settings.clone(), seed: config.seed };
+        let dispatcher = Dispatcher::new(clock, options, upstream, messages.clone(), discovery);
+        Host { dispatcher, inbox, peers: Peers { clock, messages, budget, last_id: Cell::new(0) } }
     }
 
-    /// Runs the node until `part` has ended.
-    async fn run<T>(&mut self, part: impl AsyncFnOnce(&Front) -> T) -> T {
+    /// Runs the dispatcher until `scenario` has ended.
+    async fn run<T>(&mut self, scenario: impl AsyncFnOnce(&Peers) -> T) -> T {
         tokio::select! {
-            () = self.node.run(&mut self.inbox) => panic!("the node ended"),
-            result = part(&self.front) => result,
+            () = self.dispatcher.run(&mut self.inbox) => panic!("the node ended"),
+            result = scenario(&self.peers) => result,
         }
     }
 
     /// Requests, timers, and the bytes of the memory budget that are in use.
     fn usage(&self) -> (Usage, usize) {
-        (self.node.requests.usage(), BUDGET - self.front.budget.free())
+        (self.dispatcher.requests.usage(), BUDGET - self.peers.budget.free())
     }
 }
 
-impl Front {
+impl Peers {
+    /// Sends an update of the endpoint list, and waits until it has been handled.
     async fn list(&self, kind: ListKind, endpoints: Vec<ListedEndpoint>) {
         let sent = self.messages.send(Message::EndpointList(EndpointListUpdate { kind, endpoints })).await;
         sent.expect("the node runs");
-        sleep(Duration::from_millis(1)).await; // it is taken in
+        sleep(Duration::from_millis(1)).await;
     }
 
-    /// A client's request; what it is about is the last part of its path.
+    /// Sends a client's request; `script` is what the endpoint does with it.
     async fn request(
         &self,
         class: usize,
-        about: &str,
+        script: &str,
         remaining: Duration,
     ) -> (RequestId, oneshot::Receiver<FinalAnswer>) {
-        self.requests.set(self.requests.get() + 1);
-        let id = RequestId(self.requests.get());
+        self.last_id.set(self.last_id.get() + 1);
+        let id = RequestId(self.last_id.get());
         let now = self.clock.now();
         let (method, name) =
             [(Method::GET, "read"), (Method::POST, "submit"), (Method::POST, "correct")][class].clone();
-        let path = format!("/{name}/{about}").parse::<PathAndQuery>().expect("a path");
+        let path = format!("/{name}/{script}").parse::<PathAndQuery>().expect("a path");
         let body = if class == READ { Bytes::new() } else { self.body() };
         let forward = ForwardedRequest {
             method,
@@ -120,123 +126,70 @@
             first_byte: Cell::new(None),
         };
         let (reply, answer) = oneshot::channel();
-        let new = NewRequest { id, class, remaining, ..NewRequest::default() };
-        let taken = Box::new(IncomingRequest { new, received: now, forward, reply });
-        self.messages.send(Message::Request(taken)).await.expect("the node runs");
+        let request = NewRequest { id, class, remaining, ..NewRequest::default() };
+        let incoming = Box::new(IncomingRequest { request, received: now, forward, reply });
+        self.messages.send(Message::Request(incoming)).await.expect("the node runs");
         (id, answer)
     }
 
     fn body(&self) -> Bytes {
-        let room = self.budget.lease(BODY).expect("room for a body");
-        room.keep(Bytes::from(vec![b'.'; BODY]))
+        let lease = self.budget.lease(BODY).expect("room for a body");
+        lease.keep(Bytes::from(vec![b'.'; BODY]))
     }
 
-    async fn leave(&self, id: RequestId) {
+    async fn disconnect(&self, id: RequestId) {
         self.messages.send(Message::ClientDisconnected(id)).await.expect("the node runs");
     }
 }
 
-/// What a scripted backend does with a request, by what the request is about; `load` is what its probes say.
-async fn serve(stream: TcpStream, load: &'static str) -> Option<()> {
-    let (read, mut write) = stream.into_split();
-    let mut lines = BufReader::new(read);
-    loop {
-        let mut start = String::new();
-        lines.read_line(&mut start).await.ok().filter(|read| *read > 0)?;
-        let mut length = 0;
-        loop {
-            let mut header = String::new();
-            lines.read_line(&mut header).await.ok().filter(|read| *read > 0)?;
-            if header.trim().is_empty() {
-                break;
-            }
-            if let Some(value) = header.strip_prefix("content-length: ") {
-                length = value.trim().parse().ok()?;
-            }
-        }
-        lines.read_exact(&mut vec![0; length]).await.ok()?;
-        let about = start.split(' ').nth(1)?.rsplit('/').next()?.to_owned();
-        let answer = match about.as_str() {
-            "stats" => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{load}", load.len()),
-            "error" => "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n".to_owned(),
-            "reject" => "HTTP/1.1 503 Full\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n".to_owned(),
-            "garble" => "HTTP/1.1 noise\r\n\r\n".to_owned(),
-            "reset" => return None,
-            "silence" => continue,
-            "slow" => {
-                sleep(Duration::from_millis(30)).await;
-                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate".to_owned()
-            }
-            _ => "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".to_owned(),
-        };
-        write.write_all(answer.as_bytes()).await.ok()?;
-    }
-}
-
-async fn backend(id: u64, load: &'static str) -> ListedEndpoint {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("its address");
-    spawn_local(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            spawn_local(serve(stream, load));
-        }
-    });
-    listed(id, address)
-}
-
-fn listed(id: u64, address: SocketAddr) -> ListedEndpoint {
-    let entry = EndpointEntry { id: EndpointId(id), state: EndpointState::Ready, ..EndpointEntry::default() };
-    ListedEndpoint { entry, address }
-}
-
 fn in_virtual_time(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), test);
 }
 
-fn is_refused(answer: &FinalAnswer) -> bool {
+fn is_shed(answer: &FinalAnswer) -> bool {
     matches!(answer, FinalAnswer::Shed(Some(after)) if *after == Duration::from_millis(500))
 }
 
 #[test]
-fn a_request_refused_on_a_timer_leaves_nothing() {
+fn a_request_shed_on_a_timer_leaves_nothing() {
     in_virtual_time(async {
         let mut host = Host::start(&config("pull", 0.0));
-        host.run(async |front| front.list(ListKind::Snapshot, vec![]).await).await;
+        host.run(async |peers| peers.list(ListKind::Snapshot, vec![]).await).await;
         let before = host.usage();
-        let (_, held) = host
-            .run(async |front| {
-                let asked = front.request(SUBMIT, "ok", DEADLINE).await;
+        let (_, pending) = host
+            .run(async |peers| {
+                let request = peers.request(SUBMIT, "ok", DEADLINE).await;
                 sleep(TARGET / 2).await;
-                asked
+                request
             })
             .await;
         assert_eq!(host.usage().0.requests, 1, "it waits for a server to be listed");
         assert_eq!(host.usage().1, BODY);
-        let answer = host.run(async |_| held.await.expect("an answer")).await;
-        assert!(is_refused(&answer), "{answer:?}");
+        let answer = host.run(async |_| pending.await.expect("an answer")).await;
+        assert!(is_shed(&answer), "{answer:?}");
         assert_eq!(host.usage(), before);
     });
 }
 
 #[test]
-fn a_request_refused_on_the_result_of_a_probe_leaves_nothing() {
+fn a_request_shed_on_the_result_of_a_health_check_leaves_nothing() {
     in_virtual_time(async {
         let mut host = Host::start(&config("pull", 0.0));
-        let crowded = backend(1, "inflight=50,queue=40").await;
-        host.run(async |front| front.list(ListKind::Snapshot, vec![crowded]).await).await;
+        let crowded = scripted_endpoint::start(1, "inflight=50,queue=40").await;
+        host.run(async |peers| peers.list(ListKind::Snapshot, vec![crowded]).await).await;
         let before = host.usage();
         let mut refused = 0;
         for _ in 0..20 {
             let answer = host
-                .run(async |front| {
-                    let (_, answer) = front.request(SUBMIT, "ok", DEADLINE).await;
+                .run(async |peers| {
+                    let (_, answer) = peers.request(SUBMIT, "ok", DEADLINE).await;
                     answer.await.expect("an answer")
                 })
                 .await;
-            refused += usize::from(is_refused(&answer));
+            refused += usize::from(is_shed(&answer));
             drop(answer);
-            // What was served may have an attempt out that was called off.
+            // A served request may have a cancelled attempt in flight.
             host.run(async |_| sleep(SETTLED).await).await;
             assert_eq!(host.usage(), before);
         }
@@ -245,55 +198,55 @@
 }
 
 #[test]
-fn a_request_whose_only_server_leaves_the_list_leaves_nothing() {
+fn a_request_whose_only_endpoint_is_removed_leaves_nothing() {
     in_virtual_time(async {
         let mut host = Host::start(&config("pull", 0.0));
-        // Nobody listens there, so a probe takes its time.
+        // Nothing accepts there, so a health check takes its time.
         let lost = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let endpoint = listed(1, lost.local_addr().expect("its address"));
-        host.run(async |front| front.list(ListKind::Snapshot, vec![endpoint.clone()]).await).await;
+        host.run(async |peers| peers.list(ListKind::Snapshot, vec![endpoint.clone()]).await).await;
         let before = host.usage();
-        let (_, held) = host
-            .run(async |front| {
-                let asked = front.request(SUBMIT, "ok", DEADLINE).await;
+        let (_, pending) = host
+            .run(async |peers| {
+                let request = peers.request(SUBMIT, "ok", DEADLINE).await;
                 sleep(Duration::from_millis(1)).await;
-                let mut gone = endpoint.clone();
-                gone.entry.state = EndpointState::Removed;
-                front.list(ListKind::Delta, vec![gone]).await;
-                asked
+                let mut removed = endpoint.clone();
+                removed.entry.state = EndpointState::Removed;
+                peers.list(ListKind::Delta, vec![removed]).await;
+                request
             })
             .await;
         assert_eq!(host.usage().0.requests, 1, "it is held");
-        let answer = host.run(async |_| held.await.expect("an answer")).await;
-        assert!(is_refused(&answer), "{answer:?}");
+        let answer = host.run(async |_| pending.await.expect("an answer")).await;
+        assert!(is_shed(&answer), "{answer:?}");
         host.run(async |_| sleep(SETTLED).await).await;
         assert_eq!(host.usage(), before);
     });
 }
 
-/// The decision module may answer on any event: the table must not depend on which.
+/// The balancer may answer on any event: the table must not depend on which.
 #[test]
-fn a_request_answered_while_a_list_is_taken_in_leaves_nothing() {
+fn a_request_answered_by_an_update_of_the_endpoint_list_leaves_nothing() {
     in_virtual_time(async {
         let mut host = Host::start(&config("pull", 0.0));
-        host.run(async |front| front.list(ListKind::Snapshot, vec![]).await).await;
+        host.run(async |peers| peers.list(ListKind::Snapshot, vec![]).await).await;
         let before = host.usage();
         for refuse in [true, false] {
             let (id, answer) = host
-                .run(async |front| {
-                    let asked = front.request(SUBMIT, "ok", DEADLINE).await;
+                .run(async |peers| {
+                    let request = peers.request(SUBMIT, "ok", DEADLINE).await;
                     sleep(Duration::from_millis(1)).await;
-                    asked
+                    request
                 })
                 .await;
             assert_eq!(host.usage().0.requests, 1, "it is held");
-            host.node.take(Message::EndpointList(EndpointListUpdate {
+            host.dispatcher.on_message(Message::EndpointList(EndpointListUpdate {
                 kind: ListKind::Snapshot,
                 endpoints: vec![],
             }));
             let retry_after = None;
             let action = if refuse { Action::Shed { id, retry_after } } else { Action::Fail { id } };
-            host.node.act(action);
+            host.dispatcher.execute(action);
             assert!(answer.await.is_ok());
             assert_eq!(host.usage(), before);
         }
@@ -305,15 +258,15 @@
     in_virtual_time(async {
         // Late answers have worth, so that the deadline is what ends it.
         let mut host = Host::start(&config("piggyback", 0.5));
-        let silent = backend(1, "").await;
-        host.run(async |front| front.list(ListKind::Snapshot, vec![silent]).await).await;
+        let silent = scripted_endpoint::start(1, "").await;
+        host.run(async |peers| peers.list(ListKind::Snapshot, vec![silent]).await).await;
         let before = host.usage();
         for class in [READ, SUBMIT, CORRECT] {
             let (_, answer) = host
-                .run(async |front| {
-                    let asked = front.request(class, "silence", DEADLINE).await;
+                .run(async |peers| {
+                    let request = peers.request(class, "silence", DEADLINE).await;
                     sleep(DEADLINE / 2).await;
-                    asked
+                    request
                 })
                 .await;
             assert_eq!(host.usage().0.requests, 1, "it has an attempt out");
@@ -326,27 +279,27 @@
 }
 
 #[test]
-fn a_body_gives_its_room_back_with_the_answer_though_an_attempt_is_still_out() {
+fn a_body_ends_its_memory_lease_with_the_final_answer_though_an_attempt_is_in_flight() {
     in_virtual_time(async {
         let mut host = Host::start(&config("piggyback", 0.5));
-        let silent = backend(1, "").await;
-        host.run(async |front| front.list(ListKind::Snapshot, vec![silent]).await).await;
+        let silent = scripted_endpoint::start(1, "").await;
+        host.run(async |peers| peers.list(ListKind::Snapshot, vec![silent]).await).await;
         let (id, _answer) = host
-            .run(async |front| {
-                let asked = front.request(CORRECT, "silence", DEADLINE).await;
+            .run(async |peers| {
+                let request = peers.request(CORRECT, "silence", DEADLINE).await;
                 sleep(DEADLINE / 2).await;
-                asked
+                request
             })
             .await;
         assert_eq!(host.usage().1, BODY);
-        // The table alone, so that the attempt is not called off at once.
-        assert!(host.node.requests.abandon(id));
+        // The table alone, so that the attempt is not cancelled at once.
+        assert!(host.dispatcher.requests.abandon(id));
         let (usage, bytes) = host.usage();
         assert_eq!((usage.requests, bytes), (1, 0));
     });
 }
 
-/// One client's request in so many, and what becomes of it.
+/// Class, script, and how long after its request the client disconnects, if it does.
 const ENDINGS: [(usize, &str, Option<Duration>); 16] = [
     (READ, "ok", None),
     (SUBMIT, "ok", None),
@@ -360,7 +313,6 @@
     (CORRECT, "garble", None),
     (READ, "silence", None),
     (CORRECT, "silence", None),
-    // Their clients leave after so long.
     (SUBMIT, "slow", Some(Duration::ZERO)),
     (READ, "slow", Some(Duration::from_millis(10))),
     (CORRECT, "silence", Some(Duration::from_millis(50))),
@@ -368,7 +320,7 @@
 ];
 
 #[test]
-fn after_two_hundred_thousand_requests_of_all_endings_nothing_is_left() {
+fn two_hundred_thousand_requests_of_all_endings_leave_nothing() {
     const ROUNDS: usize = 4_000;
     const REQUESTS_A_ROUND: usize = 50;
     const ROUND: Duration = Duration::from_millis(20);
@@ -377,47 +329,52 @@
         let mut listed = Vec::new();
         for id in 1..=6 {
             listed.push(
-                backend(id, if id % 3 == 0 { "inflight=9,queue=5" } else { "inflight=0,queue=0" }).await,
+                scripted_endpoint::start(
+                    id,
+                    if id % 3 == 0 { "inflight=9,queue=5" } else { "inflight=0,queue=0" },
+                )
+                .await,
             );
         }
-        host.run(async |front| front.list(ListKind::Snapshot, listed.clone()).await).await;
-        let before = (host.usage(), host.node.balancer.table_sizes(), host.node.upstream.pool.usage());
+        host.run(async |peers| peers.list(ListKind::Snapshot, listed.clone()).await).await;
+        let before =
+            (host.usage(), host.dispatcher.balancer.table_sizes(), host.dispatcher.upstream.pool.usage());
         let endings: Rc<RefCell<BTreeMap<&str, usize>>> = Rc::default();
-        host.run(async |front| {
+        host.run(async |peers| {
             for round in 0..ROUNDS {
-                // Now and then the list is empty, or names a part of the servers.
+                // Now and then the list is empty, or names some of the endpoints.
                 match round % 400 {
-                    100 => front.list(ListKind::Snapshot, vec![]).await,
-                    130 => front.list(ListKind::Snapshot, listed.clone()).await,
+                    100 => peers.list(ListKind::Snapshot, vec![]).await,
+                    130 => peers.list(ListKind::Snapshot, listed.clone()).await,
                     200 => {
                         let mut draining = listed[0].clone();
                         draining.entry.state = EndpointState::Draining;
-                        front.list(ListKind::Delta, vec![draining]).await;
+                        peers.list(ListKind::Delta, vec![draining]).await;
                     }
-                    250 => front.list(ListKind::Delta, listed[..1].to_vec()).await,
+                    250 => peers.list(ListKind::Delta, listed[..1].to_vec()).await,
                     _ => {}
                 }
-                let mut leaving = Vec::new();
+                let mut disconnecting = Vec::new();
                 for number in 0..REQUESTS_A_ROUND {
-                    // Mostly ordinary ones, or every server would be ejected throughout.
+                    // Mostly ordinary ones, or every endpoint would be ejected throughout.
                     let kind =
                         if number % 5 == 0 { (round + number / 5) % ENDINGS.len() } else { number % 3 };
-                    let (class, about, leaves) = ENDINGS[kind];
+                    let (class, script, disconnects) = ENDINGS[kind];
                     let short = number % 7 == 6;
                     let remaining = if short { Duration::from_millis(number as u64) } else { DEADLINE };
-                    let (id, answer) = front.request(class, about, remaining).await;
-                    match leaves {
-                        Some(after) => leaving.push((id, after, answer)),
+                    let (id, answer) = peers.request(class, script, remaining).await;
+                    match disconnects {
+                        Some(after) => disconnecting.push((id, after, answer)),
                         None => drop(spawn_local(count(answer, endings.clone()))),
                     }
                 }
-                for (id, after, answer) in leaving {
+                for (id, after, answer) in disconnecting {
                     sleep(after).await;
                     drop(answer);
-                    front.leave(id).await;
+                    peers.disconnect(id).await;
                 }
                 if round % 40 == 20 {
-                    front.messages.send(Message::Shutdown).await.expect("the node runs");
+                    peers.messages.send(Message::Shutdown).await.expect("the node runs");
                 }
                 sleep(ROUND).await;
             }
@@ -429,7 +386,8 @@
             assert!(endings.get(ending).is_some_and(|count| *count > 100), "{ending}: {endings:?}");
         }
         assert_eq!(endings.get("never answered"), None);
-        let after = (host.usage(), host.node.balancer.table_sizes(), host.node.upstream.pool.usage());
+        let after =
+            (host.usage(), host.dispatcher.balancer.table_sizes(), host.dispatcher.upstream.pool.usage());
         assert_eq!(after, before);
     });
 }
--- a/crates/node/src/downstream/handler.rs
+++ b/crates/node/src/downstream/handler.rs
@@ -158,31 +158,31 @@
 /// What the dispatcher gets of a request.
 fn incoming_request(
     id: RequestId,
-    request: ParsedRequest,
+    parsed: ParsedRequest,
     body: Bytes,
     received: Duration,
     reply: oneshot::Sender<FinalAnswer>,
 ) -> IncomingRequest {
-    let new = NewRequest {
-        id,
-        class: request.class,
-        tenant: request.tenant,
-        key: request.key,
-        remaining: request.budget,
-        cost_hint: request.cost,
-        client_retry: request.is_client_retry,
-    };
     let forward = ForwardedRequest {
-        method: request.method,
-        path: request.path,
-        call_id: request.call_id,
-        idempotency_key: request.idempotency_key,
+        method: parsed.method,
+        path: parsed.path,
+        call_id: parsed.call_id,
+        idempotency_key: parsed.idempotency_key,
         body: RefCell::new(Some(body)),
-        deadline: received + request.budget,
-        idempotency_window: request.idempotency_window,
+        deadline: received + parsed.budget,
+        idempotency_window: parsed.idempotency_window,
         first_byte: Cell::new(None),
     };
-    IncomingRequest { new, received, forward, reply }
+    let request = NewRequest {
+        id,
+        class: parsed.class,
+        tenant: parsed.tenant,
+        key: parsed.key,
+        remaining: parsed.budget,
+        cost_hint: parsed.cost,
+        client_retry: parsed.is_client_retry,
+    };
+    IncomingRequest { request, received, forward, reply }
 }
 
 /// Reports the client's disconnect unless it is disarmed before: a client that disconnects drops the future that
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -1,4 +1,4 @@
-//! What the parts of the node tell one another. This module depends on none of them.
+//! The messages between the parts of the node. This module depends on none of them.
 
 use bytes::Bytes;
 use hyper::Method;
@@ -10,27 +10,27 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// What reaches the dispatcher.
+/// A message to the dispatcher.
 pub enum Message {
-    /// A client's request was read whole.
+    /// A client's request has been read and admitted.
     Request(Box<IncomingRequest>),
     /// The client of a request has disconnected.
     ClientDisconnected(RequestId),
     /// An attempt has ended.
-    Attempt(AttemptResult),
+    AttemptEnded(AttemptResult),
     /// A health check has ended.
-    HealthCheck(HealthCheckResult),
-    /// Discovery has told of endpoints.
+    HealthCheckEnded(HealthCheckResult),
+    /// The endpoint list has changed, or could not be had.
     EndpointList(EndpointListUpdate),
-    /// The node shuts down: whoever is still owed an answer gets one.
+    /// The node ends: every request in flight gets its final answer now.
     Shutdown,
 }
 
-/// A request that the downstream side has read whole.
+/// A request that the downstream side has admitted.
 pub struct IncomingRequest {
-    /// What the balancer is told of it.
-    pub new: NewRequest,
-    /// When its last byte had come.
+    /// The request as the balancer sees it.
+    pub request: NewRequest,
+    /// When its last byte was read.
     pub received: Duration,
     /// What its attempts forward.
     pub forward: ForwardedRequest,
@@ -43,27 +43,31 @@
 pub enum FinalAnswer {
     /// An endpoint's response body.
     Served(Bytes),
-    /// Rejected, with the time after which the client may retry, if it is told one.
+    /// Shed: the request never ran. With the time after which the client may retry, if clients are told one.
     Shed(Option<Duration>),
-    /// Failed, with no promise that it never ran.
+    /// Failed: the request may have run.
     Failed,
-    /// Unanswered when its time was up.
+    /// Unanswered at the deadline: the request may have run.
     TimedOut,
 }
 
-/// What all attempts of a request share: what is forwarded unchanged, and what binds them.
+/// What all attempts of a request share: the parts that are forwarded unchanged, and the limits on sending them.
 pub struct ForwardedRequest {
+    /// The request's method.
     pub method: Method,
+    /// The request's path and query.
     pub path: PathAndQuery,
+    /// The request's X-Call-Id.
     pub call_id: HeaderValue,
+    /// The request's Idempotency-Key.
     pub idempotency_key: Option<HeaderValue>,
-    /// `None` once nothing more may be sent.
+    /// The request's body; `None` once nothing more may be sent.
     pub body: RefCell<Option<Bytes>>,
     /// When the client stops waiting.
     pub deadline: Duration,
     /// How long endpoints remember the idempotency key, from the first byte of the first attempt.
     pub idempotency_window: Option<Duration>,
-    /// When the first attempt began to be written.
+    /// When the first byte of the first attempt was written.
     pub first_byte: Cell<Option<Duration>>,
 }
 
@@ -74,8 +78,8 @@
         self.body.borrow().clone()
     }
 
-    /// Ends all sending. The body gives its part of the memory budget back as soon as what is being written now
-    /// has gone.
+    /// Ends all sending. The body's lease of the memory budget ends as soon as what is being written now has been
+    /// written or dropped.
     pub fn close(&self) {
         self.body.replace(None);
     }
@@ -83,7 +87,7 @@
 
 /// Why an attempt is stopped.
 pub enum StopReason {
-    /// Its time-out has passed.
+    /// Its timeout has passed.
     TimedOut,
     /// The balancer has cancelled it.
     Cancelled,
@@ -91,38 +95,48 @@
 
 /// How an attempt ended.
 pub struct AttemptResult {
+    /// The request.
     pub id: RequestId,
-    /// The number of the attempt, from 0.
+    /// The number of the attempt among those of the request, from 0.
     pub number: u32,
+    /// How it ended.
     pub outcome: Outcome,
+    /// The load report that came with the response.
     pub report: Option<LoadReport>,
-    /// The response's body, if it was served.
+    /// The body of the response, if the request was served.
     pub body: Option<Bytes>,
 }
 
 /// How a health check ended.
 pub struct HealthCheckResult {
+    /// The endpoint that was checked.
     pub endpoint: EndpointId,
+    /// How it ended.
     pub outcome: Outcome,
-    /// When it began.
-    pub sent: Duration,
+    /// When it started.
+    pub started: Duration,
+    /// The load report that came with the response.
     pub report: Option<LoadReport>,
 }
 
 /// An entry of the endpoint list, and where that endpoint listens.
 #[derive(Clone, Debug)]
 pub struct ListedEndpoint {
+    /// The entry as the balancer sees it.
     pub entry: EndpointEntry,
+    /// Where the endpoint listens.
     pub address: SocketAddr,
 }
 
-/// A change of the endpoint list, or the whole list.
+/// News of the endpoint list.
 pub struct EndpointListUpdate {
+    /// Whether the endpoints are the whole list or changes to it.
     pub kind: ListKind,
+    /// The endpoints.
     pub endpoints: Vec<ListedEndpoint>,
 }
 
-/// What the balancer asks of discovery, where the endpoint list must be polled.
+/// What the balancer wants of discovery, where the endpoint list is polled.
 pub enum DiscoveryCommand {
     /// Watch for changes, or stop watching.
     Subscribe(bool),
--- a/crates/node/src/request_table.rs
+++ b/crates/node/src/request_table.rs
@@ -1,7 +1,7 @@
 //! The table of requests in flight, and the timers that belong to them.
 //!
-//! The table is the only place that knows when a request is finished: as soon as it has its final answer and no
-//! attempt out, it leaves together with its timers, whichever event came last. No caller has to remember that.
+//! The table is the only place that knows when a request is finished: as soon as it has its final answer and all its
+//! attempts have ended, it leaves together with its timers, whichever event came last. No caller has to remember that.
 
 use crate::message::{FinalAnswer, ForwardedRequest, StopReason};
 use ottertiller_balancer::{EndpointId, RequestId};
@@ -11,100 +11,126 @@
 use tokio::sync::oneshot;
 
 /// A request and its attempts.
-struct InFlight {
+struct InFlightRequest {
     forward: Rc<ForwardedRequest>,
-    /// The way to the client, until the final answer has gone there or the client has left.
+    /// The way to the client, until the final answer has gone there or the client has disconnected.
     reply: Option<oneshot::Sender<FinalAnswer>>,
-    /// In the order of their start; an attempt's number is its place.
-    attempts: Vec<Attempt>,
-    /// Its pending timers. They go with it: a client may say that it waits for as long as it likes.
-    timers: Vec<TimerId>,
+    /// In the order of their start: an attempt's number is its position.
+    attempts: Vec<AttemptEntry>,
+    /// Its pending timers, which leave with it: a deadline may be minutes away.
+    timers: Vec<TimerKey>,
 }
 
-struct Attempt {
+impl InFlightRequest {
+    fn is_answered(&self) -> bool {
+        self.reply.is_none()
+    }
+
+    fn is_finished(&self) -> bool {
+        self.is_answered() && self.attempts.iter().all(AttemptEntry::has_ended)
+    }
+}
+
+struct AttemptEntry {
     endpoint: EndpointId,
-    sent: Duration,
+    started: Duration,
     state: AttemptState,
 }
 
+impl AttemptEntry {
+    fn has_ended(&self) -> bool {
+        matches!(self.state, AttemptState::Ended)
+    }
+}
+
 enum AttemptState {
-    /// Under way, and not told to stop yet.
+    /// In flight; the sender stops it.
     Running(oneshot::Sender<StopReason>),
-    /// Told to stop; its outcome is still to come.
+    /// Asked to stop; its outcome is still to come.
     Stopping,
+    /// Its outcome has come, or it never started.
     Ended,
 }
 
-impl InFlight {
-    fn is_answered(&self) -> bool {
-        self.reply.is_none()
-    }
-
-    fn is_finished(&self) -> bool {
-        self.is_answered() && self.attempts.iter().all(|attempt| matches!(attempt.state, AttemptState::Ended))
-    }
-}
-
-/// What the caller needs to know of an attempt that has just ended.
+/// What is known of an attempt that has just ended.
 pub struct EndedAttempt {
+    /// Where it was sent.
     pub endpoint: EndpointId,
-    pub sent: Duration,
+    /// When it started.
+    pub started: Duration,
     /// Whether the request had its final answer before this attempt ended.
-    pub answered: bool,
+    pub was_answered: bool,
 }
 
-/// Whether another attempt of a request may begin.
+/// Whether another attempt of a request may start.
 pub enum NewAttempt {
-    /// It may, under this number.
-    Permitted { number: u32, forward: Rc<ForwardedRequest> },
+    /// It may.
+    Permitted {
+        /// The number it will have.
+        number: u32,
+        /// What it forwards.
+        forward: Rc<ForwardedRequest>,
+    },
     /// It may not, and counts as an attempt that has ended unsent.
-    Refused { number: u32, answered: bool },
+    Refused {
+        /// The number it has.
+        number: u32,
+        /// Whether the request has its final answer.
+        is_answered: bool,
+    },
 }
 
-/// When a timer is due, and its number: those due together fire in the order in which they were set.
-type TimerId = (Duration, u64);
+/// The order in which timers fire: those due together fire in the order in which they were set.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct TimerKey {
+    due: Duration,
+    sequence: u64,
+}
 
 /// What a timer is for.
 #[derive(Clone, Copy)]
-pub enum Due {
-    /// The decision module's own, with its token.
+pub enum Timer {
+    /// The balancer's own, with its token.
     Balancer(u64),
-    /// The time-out of an attempt.
-    Attempt(RequestId, u32),
-    /// The client's deadline.
+    /// The timeout of an attempt, by its request and number.
+    AttemptTimeout(RequestId, u32),
+    /// The deadline of a request.
     Deadline(RequestId),
 }
 
-impl Due {
-    /// The request that a timer leaves with. A token that is no request's belongs to the module itself.
+impl Timer {
+    /// The request with which the timer leaves. The balancer's token is a request's id, or no request's and then the
+    /// timer stays until it fires.
     fn owner(self) -> RequestId {
         match self {
-            Due::Balancer(token) => RequestId(token),
-            Due::Attempt(id, _) | Due::Deadline(id) => id,
+            Timer::Balancer(token) => RequestId(token),
+            Timer::AttemptTimeout(id, _) | Timer::Deadline(id) => id,
         }
     }
 }
 
-/// How much a table holds.
+/// The size of a table.
 #[cfg(test)]
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Usage {
+    /// Requests in flight.
     pub requests: usize,
+    /// Pending timers.
     pub timers: usize,
 }
 
-/// The requests that are owed an answer or have an attempt out, and all pending timers.
+/// The requests in flight, which have no final answer or an attempt that has not ended, and all pending timers.
 #[derive(Default)]
 pub struct RequestTable {
-    requests: BTreeMap<RequestId, InFlight>,
-    timers: BTreeMap<TimerId, Due>,
-    timers_set: u64,
+    requests: BTreeMap<RequestId, InFlightRequest>,
+    timers: BTreeMap<TimerKey, Timer>,
+    last_timer_sequence: u64,
 }
 
 impl RequestTable {
-    /// Takes in a request that is owed an answer.
+    /// Adds a request, which is owed a final answer.
     pub fn insert(&mut self, id: RequestId, forward: ForwardedRequest, reply: oneshot::Sender<FinalAnswer>) {
-        let request = InFlight {
+        let request = InFlightRequest {
             forward: Rc::new(forward),
             reply: Some(reply),
             attempts: Vec::new(),
@@ -113,15 +139,15 @@
         self.requests.insert(id, request);
     }
 
-    /// Gives the final answer. The one place where it leaves; false if none was owed any more.
+    /// Gives the final answer, and is the only place that does. False if none is owed any more.
     pub fn answer(&mut self, id: RequestId, answer: FinalAnswer) -> bool {
         let Some(reply) = self.take_reply(id) else { return false };
-        // An error means that the client has just left: then no answer is owed.
+        // An error means that the client has just disconnected: then no answer is owed.
         let _ = reply.send(answer);
         true
     }
 
-    /// The client has left, and is owed no answer. False if none was owed before.
+    /// The client has disconnected, and is owed no answer. False if none was owed before.
     pub fn abandon(&mut self, id: RequestId) -> bool {
         self.take_reply(id).is_some()
     }
@@ -134,25 +160,26 @@
         Some(reply)
     }
 
-    /// Asks for another attempt, of which a request may have `most`.
+    /// Asks for another attempt of a request that may have up to `max_attempts`; `None` if it is not in flight.
     pub fn new_attempt(
         &mut self,
         id: RequestId,
         endpoint: EndpointId,
         now: Duration,
-        most: usize,
+        max_attempts: usize,
     ) -> Option<NewAttempt> {
         let request = self.requests.get_mut(&id)?;
         let number = request.attempts.len() as u32;
-        let answered = request.is_answered();
-        if answered || now >= request.forward.deadline || request.attempts.len() >= most {
-            request.attempts.push(Attempt { endpoint, sent: now, state: AttemptState::Ended });
-            return Some(NewAttempt::Refused { number, answered });
+        let is_answered = request.is_answered();
+        let is_overdue = now >= request.forward.deadline;
+        if is_answered || is_overdue || request.attempts.len() >= max_attempts {
+            request.attempts.push(AttemptEntry { endpoint, started: now, state: AttemptState::Ended });
+            return Some(NewAttempt::Refused { number, is_answered });
         }
         Some(NewAttempt::Permitted { number, forward: request.forward.clone() })
     }
 
-    /// A permitted attempt begins; `stop` is the way to stop it.
+    /// A permitted attempt starts; `stop` stops it.
     pub fn attempt_started(
         &mut self,
         id: RequestId,
@@ -161,80 +188,81 @@
         stop: oneshot::Sender<StopReason>,
     ) {
         if let Some(request) = self.requests.get_mut(&id) {
-            request.attempts.push(Attempt { endpoint, sent: now, state: AttemptState::Running(stop) });
+            let state = AttemptState::Running(stop);
+            request.attempts.push(AttemptEntry { endpoint, started: now, state });
         }
     }
 
     /// An attempt has ended; `None` if it is not known or had ended before.
     pub fn attempt_ended(&mut self, id: RequestId, number: u32) -> Option<EndedAttempt> {
         let request = self.requests.get_mut(&id)?;
-        let answered = request.is_answered();
+        let was_answered = request.is_answered();
         let attempt = request.attempts.get_mut(number as usize)?;
-        if matches!(attempt.state, AttemptState::Ended) {
+        if attempt.has_ended() {
             return None;
         }
         attempt.state = AttemptState::Ended;
-        let ended = EndedAttempt { endpoint: attempt.endpoint, sent: attempt.sent, answered };
+        let ended = EndedAttempt { endpoint: attempt.endpoint, started: attempt.started, was_answered };
         self.remove_if_finished(id);
         Some(ended)
     }
 
-    /// Stops an attempt that is under way. Its outcome is still to come.
-    pub fn stop_attempt(&mut self, id: RequestId, number: u32, why: StopReason) {
-        let request = self.requests.get_mut(&id);
-        let Some(attempt) = request.and_then(|request| request.attempts.get_mut(number as usize)) else {
-            return;
-        };
+    /// Stops an attempt that is in flight. Its outcome is still to come.
+    pub fn stop_attempt(&mut self, id: RequestId, number: u32, reason: StopReason) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(attempt) = request.attempts.get_mut(number as usize) else { return };
         match std::mem::replace(&mut attempt.state, AttemptState::Stopping) {
-            // It may have ended just now; then that outcome is on its way.
-            AttemptState::Running(stop) => drop(stop.send(why)),
-            other => attempt.state = other,
+            AttemptState::Running(stop) => {
+                // An error means that it has just ended: then that outcome is on its way.
+                let _ = stop.send(reason);
+            }
+            unchanged => attempt.state = unchanged,
         }
     }
 
-    /// The requests that are still owed an answer.
+    /// The requests that are still owed a final answer.
     pub fn unanswered(&self) -> Vec<RequestId> {
-        let owed = self.requests.iter().filter(|(_, request)| !request.is_answered());
-        owed.map(|(id, _)| *id).collect()
+        let unanswered = self.requests.iter().filter(|(_, request)| !request.is_answered());
+        unanswered.map(|(id, _)| *id).collect()
     }
 
     /// The one place where a request leaves the table, and its timers with it.
     fn remove_if_finished(&mut self, id: RequestId) {
-        if !self.requests.get(&id).is_some_and(InFlight::is_finished) {
+        if !self.requests.get(&id).is_some_and(InFlightRequest::is_finished) {
             return;
         }
         let Some(request) = self.requests.remove(&id) else { return };
-        for timer in request.timers {
-            self.timers.remove(&timer);
+        for key in request.timers {
+            self.timers.remove(&key);
         }
     }
 
     /// Sets a timer. One that belongs to a request in flight leaves with it.
-    pub fn set_timer(&mut self, at: Duration, due: Due) {
-        self.timers_set += 1;
-        let timer = (at, self.timers_set);
-        if let Some(request) = self.requests.get_mut(&due.owner()) {
-            request.timers.push(timer);
+    pub fn set_timer(&mut self, due: Duration, timer: Timer) {
+        self.last_timer_sequence += 1;
+        let key = TimerKey { due, sequence: self.last_timer_sequence };
+        if let Some(request) = self.requests.get_mut(&timer.owner()) {
+            request.timers.push(key);
         }
-        self.timers.insert(timer, due);
+        self.timers.insert(key, timer);
     }
 
     /// When the next timer is due.
     pub fn next_due(&self) -> Option<Duration> {
-        self.timers.first_key_value().map(|((at, _), _)| *at)
+        self.timers.first_key_value().map(|(key, _)| key.due)
     }
 
-    /// The next timer that is due by `now`.
-    pub fn pop_due(&mut self, now: Duration) -> Option<Due> {
-        let timer = self.timers.first_entry().filter(|timer| timer.key().0 <= now)?;
-        let (fired, due) = timer.remove_entry();
-        if let Some(request) = self.requests.get_mut(&due.owner()) {
-            request.timers.retain(|timer| *timer != fired);
+    /// Removes the next timer that is due by `now`.
+    pub fn pop_due(&mut self, now: Duration) -> Option<Timer> {
+        let entry = self.timers.first_entry().filter(|entry| entry.key().due <= now)?;
+        let (fired, timer) = entry.remove_entry();
+        if let Some(request) = self.requests.get_mut(&timer.owner()) {
+            request.timers.retain(|key| *key != fired);
         }
-        Some(due)
+        Some(timer)
     }
 
-    /// How much it holds.
+    /// The size of the table.
     #[cfg(test)]
     pub fn usage(&self) -> Usage {
         Usage { requests: self.requests.len(), timers: self.timers.len() }
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -3,7 +3,7 @@
 use crate::clock::Clock;
 use crate::config::{Config, ConfigError};
 use crate::discovery::Discovery;
-use crate::dispatcher::Dispatcher;
+use crate::dispatcher::{Dispatcher, DispatcherOptions};
 use crate::downstream::{self, Downstream};
 use crate::logging::log;
 use crate::memory_budget::Budget;
@@ -71,7 +71,9 @@
     let upstream = Upstream::new(clock, &config, budget.clone(), pool);
     let discovery = Discovery::new(&config, messages.clone());
     let is_ready = discovery.ready();
-    let mut dispatcher = Dispatcher::new(clock, &config, upstream, messages.clone(), discovery_commands);
+    let dispatcher_options = dispatcher_options(&config);
+    let mut dispatcher =
+        Dispatcher::new(clock, dispatcher_options, upstream, messages.clone(), discovery_commands);
     let downstream = Downstream::new(clock, downstream_options(&config), budget, messages, is_ready);
 
     let mut dispatcher = spawn_local(async move { dispatcher.run(&mut inbox).await });
@@ -91,6 +93,10 @@
     TcpListener::bind(address).await.map_err(|cause| NodeError::Bind { address, cause })
 }
 
+fn dispatcher_options(config: &Config) -> DispatcherOptions {
+    DispatcherOptions { settings: config.site.settings.clone(), seed: config.seed }
+}
+
 fn downstream_options(config: &Config) -> downstream::Options {
     let names = config.site.class_names.iter();
     let classes = names.zip(&config.site.settings.classes).map(|(name, class)| downstream::RequestClass {
