Name the parts of the log, the memory budget and the clock

The log's rate limit was a tuple in a thread-local cell, and its thread a closure in a closure. They are a type and a function now, and constants and fields have whole names. Behaviour is as before: one thread, a bounded queue, ten peer lines a second, flush.

--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,30 +1,30 @@
 //! The node's clock.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
-/// Unix time as it was at the start, carried on by the monotonic clock, so that an endpoint's `since_ms` and the
-/// times of events are on one scale that never runs backwards.
+/// Unix time as it was at the start, continued by the monotonic clock. So an endpoint's `since_ms` and the times of
+/// events are on one scale, which never runs backwards.
 #[derive(Clone, Copy)]
 pub struct Clock {
     started: Instant,
-    unix: Duration,
+    unix_time_at_start: Duration,
 }
 
 impl Clock {
     /// A clock that shows the present Unix time.
     pub fn start() -> Self {
-        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-        Clock { started: Instant::now(), unix }
+        let unix_time_at_start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { started: Instant::now(), unix_time_at_start }
     }
 
     /// The time since the Unix epoch.
     pub fn now(self) -> Duration {
-        self.unix + self.started.elapsed()
+        self.unix_time_at_start + self.started.elapsed()
     }
 
-    /// The runtime's instant at which this clock shows `at`.
-    pub fn instant(self, at: Duration) -> Instant {
-        self.started + at.saturating_sub(self.unix)
+    /// The runtime's instant at which this clock shows `time`.
+    pub fn instant(self, time: Duration) -> Instant {
+        self.started + time.saturating_sub(self.unix_time_at_start)
     }
 }
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -1,75 +1,122 @@
-//! The log: lines for the operators, on standard error. A thread of its own writes them, since nobody reading
-//! the log, or reading it slowly, is no reason to stop serving: what it can't take in time is left out.
+//! The log: lines for operators on standard error.
+//!
+//! A thread of its own writes them, so that a reader that is slow or has stopped never blocks the node: lines that
+//! do not fit into the queue are lost.
 
 use std::cell::Cell;
 use std::fmt::Display;
 use std::io::{self, Write};
 use std::sync::OnceLock;
-use std::sync::mpsc::{SyncSender, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// Lines that may wait to be written.
-const WAITING: usize = 256;
-/// The most lines a second about what peers do: they could fill any disk.
-const PEER_LINES_A_SECOND: u32 = 10;
-/// How long the end of the program waits for the last lines.
-const LAST_LINES: Duration = Duration::from_millis(200);
+const QUEUE_LENGTH: usize = 256;
+/// The most lines in each interval about what peers do: they could fill any disk.
+const MAX_PEER_LINES: u32 = 10;
+const PEER_LINES_INTERVAL: Duration = Duration::from_secs(1);
+/// How long [`flush`] waits.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+/// The writer needs little.
+const WRITER_STACK_BYTES: usize = 64 * 1024;
 
+/// An entry of the writer's queue.
 enum Entry {
+    /// A line to be written.
     Line(String),
-    /// Answered when all before it has been written.
+    /// Acknowledged when all entries before it have been written.
     Flush(SyncSender<()>),
 }
 
-static WRITER: OnceLock<Option<SyncSender<Entry>>> = OnceLock::new();
+/// The queue of the writer's thread; `None` if the thread could not be started.
+static QUEUE: OnceLock<Option<SyncSender<Entry>>> = OnceLock::new();
 
-fn writer() -> Option<&'static SyncSender<Entry>> {
-    let start = || {
-        let (entries, inbox) = sync_channel(WAITING);
-        let write = move || {
-            for entry in inbox {
-                match entry {
-                    Entry::Line(line) => drop(writeln!(io::stderr().lock(), "ottertiller: {line}")),
-                    Entry::Flush(done) => drop(done.send(())),
-                }
+fn queue() -> Option<&'static SyncSender<Entry>> {
+    QUEUE.get_or_init(start_writer).as_ref()
+}
+
+fn start_writer() -> Option<SyncSender<Entry>> {
+    let (queue, entries) = sync_channel(QUEUE_LENGTH);
+    let writer = thread::Builder::new().stack_size(WRITER_STACK_BYTES);
+    writer.spawn(move || write_all(entries)).ok()?;
+    Some(queue)
+}
+
+fn write_all(entries: Receiver<Entry>) {
+    for entry in entries {
+        match entry {
+            Entry::Line(line) => {
+                // There is nowhere to report that the log cannot be written.
+                let _ = writeln!(io::stderr().lock(), "ottertiller: {line}");
+            }
+            Entry::Flush(written) => {
+                // An error means that the flush has timed out.
+                let _ = written.send(());
             }
-        };
-        std::thread::Builder::new().stack_size(64 * 1024).spawn(write).ok().map(|_| entries)
-    };
-    WRITER.get_or_init(start).as_ref()
+        }
+    }
 }
 
-/// A line about this node.
+/// Logs a line about this node.
 pub fn log(text: impl Display) {
-    if let Some(writer) = writer() {
-        let _ = writer.try_send(Entry::Line(text.to_string()));
+    if let Some(queue) = queue() {
+        let _ = queue.try_send(Entry::Line(text.to_string()));
     }
 }
 
-/// A line about something that peers can bring about as often as they like.
+/// Logs a line about something that peers can cause as often as they like. Their number is limited; a line says how
+/// many were suppressed before it.
 pub fn log_peer(text: impl Display) {
     thread_local! {
-        /// The second that is counted, its lines so far, and how many were left out since the last line.
-        static COUNT: Cell<(Option<Instant>, u32, u64)> = const { Cell::new((None, 0, 0)) };
+        static LIMIT: Cell<PeerLineLimit> = const { Cell::new(PeerLineLimit::new()) };
     }
-    let (since, lines, left_out) = COUNT.get();
-    let now = Instant::now();
-    let fresh = since.is_none_or(|since| now - since >= Duration::from_secs(1));
-    let (since, lines) = if fresh { (Some(now), 0) } else { (since, lines) };
-    if lines >= PEER_LINES_A_SECOND {
-        return COUNT.set((since, lines, left_out + 1));
+    let mut limit = LIMIT.get();
+    let admitted = limit.admit(Instant::now());
+    LIMIT.set(limit);
+    match admitted {
+        Some(0) => log(text),
+        Some(suppressed) => {
+            log(format_args!("{text} ({suppressed} lines about peers were left out before this one)"));
+        }
+        None => {}
     }
-    COUNT.set((since, lines + 1, 0));
-    match left_out {
-        0 => log(text),
-        some => log(format_args!("{text} ({some} lines about peers were left out before this one)")),
+}
+
+/// Limits the number of lines in each interval. An interval starts with the first line after the last one's end.
+#[derive(Clone, Copy)]
+struct PeerLineLimit {
+    interval_start: Option<Instant>,
+    lines_in_interval: u32,
+    suppressed: u64,
+}
+
+impl PeerLineLimit {
+    const fn new() -> Self {
+        PeerLineLimit { interval_start: None, lines_in_interval: 0, suppressed: 0 }
+    }
+
+    /// Admits a line, with the number of those suppressed since the last; `None` if this one is suppressed.
+    fn admit(&mut self, now: Instant) -> Option<u64> {
+        let is_over = self.interval_start.is_none_or(|start| now - start >= PEER_LINES_INTERVAL);
+        if is_over {
+            self.interval_start = Some(now);
+            self.lines_in_interval = 0;
+        }
+        if self.lines_in_interval >= MAX_PEER_LINES {
+            self.suppressed += 1;
+            return None;
+        }
+        self.lines_in_interval += 1;
+        Some(std::mem::take(&mut self.suppressed))
     }
 }
 
-/// Waits for the last lines, but not for a reader that has stopped.
+/// Waits until all lines so far have been written, but not for a reader that has stopped.
 pub fn flush() {
-    let (done, written) = sync_channel(1);
-    if writer().is_some_and(|writer| writer.try_send(Entry::Flush(done)).is_ok()) {
-        let _ = written.recv_timeout(LAST_LINES);
+    let Some(queue) = queue() else { return };
+    let (written, is_written) = sync_channel(1);
+    if queue.try_send(Entry::Flush(written)).is_ok() {
+        let _ = is_written.recv_timeout(FLUSH_TIMEOUT);
     }
 }
--- a/crates/node/src/memory_budget.rs
+++ b/crates/node/src/memory_budget.rs
@@ -1,28 +1,30 @@
-//! What bodies may take of the memory limit: requests and answers are read only once there is room for them.
+//! The memory budget for bodies: a request's or response's body is read only once its bytes have been leased.
 
 use bytes::Bytes;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-/// Bytes that may still be held.
+/// The bytes that may still be leased.
 #[derive(Clone)]
 pub struct Budget(Arc<AtomicUsize>);
 
-/// A part of the budget, which goes back when it is dropped.
+/// A part of the budget, returned when it is dropped.
 pub struct Lease {
     budget: Budget,
     bytes: usize,
 }
 
 impl Budget {
+    /// A budget of so many bytes.
     pub fn new(bytes: usize) -> Self {
         Budget(Arc::new(AtomicUsize::new(bytes)))
     }
 
-    /// Room for so many bytes, if there is that much.
+    /// Leases so many bytes; `None` if fewer are left.
     pub fn lease(&self, bytes: usize) -> Option<Lease> {
-        let taken = self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(bytes));
-        taken.ok().map(|_| Lease { budget: self.clone(), bytes })
+        let subtract = |left: usize| left.checked_sub(bytes);
+        self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract).ok()?;
+        Some(Lease { budget: self.clone(), bytes })
     }
 
     /// How many bytes may still be leased.
@@ -33,15 +35,9 @@
 }
 
 impl Lease {
-    /// These bytes, which keep their room for as long as a copy of them lives.
+    /// Ties the lease to the bytes it is for: it ends when the last copy of them is dropped.
     pub fn keep(self, bytes: Bytes) -> Bytes {
-        struct Kept(Bytes, #[expect(dead_code, reason = "its drop gives the room back")] Lease);
-        impl AsRef<[u8]> for Kept {
-            fn as_ref(&self) -> &[u8] {
-                &self.0
-            }
-        }
-        Bytes::from_owner(Kept(bytes, self))
+        Bytes::from_owner(LeasedBytes { bytes, _lease: self })
     }
 }
 
@@ -50,3 +46,15 @@
         self.budget.0.fetch_add(self.bytes, Ordering::Relaxed);
     }
 }
+
+/// Bytes together with the lease for them.
+struct LeasedBytes {
+    bytes: Bytes,
+    _lease: Lease,
+}
+
+impl AsRef<[u8]> for LeasedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
