Test the sizes that are derived from the configured limits

They are a function of descriptors and memory alone now, so their figures are pinned as they have been: the defaults, little memory, and few descriptors.

--- a/crates/node/src/config/capacity.rs
+++ b/crates/node/src/config/capacity.rs
@@ -54,3 +54,7 @@
     let without_connections = available_bytes.saturating_sub(connections * CONNECTION_BYTES);
     (without_connections / 4 * 3).max(MIN_BODY_BYTES)
 }
+
+#[cfg(test)]
+#[path = "capacity_tests.rs"]
+mod tests;
