Use ordinary technical English in the node's comments, and split the startup function

Comments and a few local names were still in house words: places, what is told, what waits to be. No behaviour changes.

--- a/crates/node/src/config/capacity.rs
+++ b/crates/node/src/config/capacity.rs
@@ -14,7 +14,7 @@
 /// The least memory for bodies, whatever the limits say.
 const MIN_BODY_BYTES: usize = 1 << 20;
 
-/// What the node may hold at once.
+/// The most that the node holds at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Capacity {
     /// The most client connections.
@@ -26,7 +26,7 @@
 }
 
 impl Capacity {
-    /// The capacity of a process that may open so many descriptors and use so much memory.
+    /// The capacity of a process that may open `descriptors` and use `memory_bytes`.
     pub fn within(descriptors: usize, memory_bytes: usize) -> Self {
         let available_bytes = memory_bytes.saturating_sub(RESERVED_BYTES);
         let connections = connections(descriptors, available_bytes);
--- a/crates/node/src/downstream/connection.rs
+++ b/crates/node/src/downstream/connection.rs
@@ -17,16 +17,16 @@
 /// What a connection is doing.
 #[derive(Clone, Copy, PartialEq)]
 enum State {
-    /// No request's head has been read since then.
+    /// No request is being served. A part of the next one's head may have been read.
     Idle { since: Instant },
-    /// A request's head has been read, and its response has not been given.
+    /// A request's head has been read, and its response is not yet known.
     Serving,
     /// No more requests are served; the client is to end the connection.
     Closing { since: Instant },
 }
 
-/// How soon an idle connection is evicted, the least first: those that never sent a request, then those that have
-/// been idle for longest. A crowd of silent clients does not displace those that are served.
+/// The order in which idle connections are evicted: first those that never sent a request, then those that have been
+/// idle for longest. So a crowd of silent clients does not displace those that are served.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EvictionRank {
     has_sent_request: bool,
@@ -58,7 +58,7 @@
         }
     }
 
-    /// A request's head has been read. Returns when the whole request must have been read.
+    /// A request's head has been read. Returns the deadline for reading the rest of the request.
     pub fn begin_request(&self) -> Instant {
         let started = self.request_started();
         self.has_sent_request.set(true);
@@ -109,7 +109,8 @@
         self.abort.notified().await;
     }
 
-    /// Ends once the client has disconnected while its request was being served. Otherwise the HTTP layer notices.
+    /// Completes once the client has disconnected while its request was being served. At other times the HTTP layer
+    /// notices that itself, and this never completes.
     pub async fn client_disconnected(&self) {
         self.socket.left().await;
         if self.state.get() != State::Serving {
@@ -117,8 +118,8 @@
         }
     }
 
-    /// Aborts or closes the connection if a timeout has passed. A request may have come in time and still wait to be
-    /// read, if this node was held up itself: then it is served, so unread bytes prevent the abort.
+    /// Aborts or closes the connection if a timeout has passed. If this node was delayed itself, a request may have
+    /// arrived in time and not be read yet: so a connection with unread bytes is not aborted.
     pub fn enforce_timeouts(&self, now: Instant) {
         let is_read_late = self.request_started().is_some_and(|started| now > started + READ_TIMEOUT);
         match self.state.get() {
@@ -137,7 +138,7 @@
         }
     }
 
-    /// The rank of a connection on which no request has begun, as far as this node has read.
+    /// The rank of an idle connection on which no byte of a further request has been read.
     pub fn eviction_rank(&self) -> Option<EvictionRank> {
         match self.state.get() {
             State::Idle { since } if self.socket.heard().is_none() => {
@@ -147,7 +148,7 @@
         }
     }
 
-    /// Whether no bytes wait to be read. This asks the kernel, unlike [`Self::eviction_rank`].
+    /// Whether the kernel has no unread bytes for this connection. Takes a system call.
     pub fn has_nothing_to_read(&self) -> bool {
         self.socket.is_quiet()
     }
--- a/crates/node/src/downstream/handler.rs
+++ b/crates/node/src/downstream/handler.rs
@@ -24,11 +24,11 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
-/// Where the node is asked whether it is ready.
+/// The path of the readiness check.
 const READINESS_PATH: &str = "/health/ready";
-/// How much of a rejected request's body is read, so that its client sees the response.
+/// How much of a rejected request's body is read and discarded, so that its client sees the response.
 const MAX_DISCARDED_BYTES: usize = 16 * MAX_BODY_BYTES;
-/// And for how long: half the time after which a closing connection is aborted.
+/// How long that may take: half the time after which a closing connection is aborted.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Handles the requests of all connections.
@@ -47,9 +47,9 @@
 
 /// What a request's head asks for.
 enum Target {
-    /// Whether the node is ready.
+    /// The node's readiness.
     Readiness,
-    /// A call to be forwarded.
+    /// A call that is to be forwarded.
     Call(Box<ParsedRequest>),
 }
 
@@ -123,7 +123,7 @@
             return Ok(response::shed(self.options.max_retry_after));
         }
         let received = self.clock.now();
-        // The attempts of two requests with the same id could be taken for one another's.
+        // Endpoints could confuse the attempts of two requests with the same id.
         let call_id = request.call_id.clone();
         let _open_call = self.open_calls.open(&call_id).ok_or(RequestError::CallInFlight)?;
         let answer = self.dispatch(request, body, received).await;
@@ -134,11 +134,11 @@
     async fn dispatch(&self, request: ParsedRequest, body: Bytes, received: Duration) -> FinalAnswer {
         let id = self.next_request_id();
         let (reply, answer) = oneshot::channel();
-        // The place for the disconnect is reserved now, since a drop cannot wait for one.
-        let Ok(place) = self.dispatcher.clone().reserve_owned().await else {
+        // Reserved now, since a drop cannot wait for a slot in the dispatcher's inbox.
+        let Ok(permit) = self.dispatcher.clone().reserve_owned().await else {
             return FinalAnswer::Failed;
         };
-        let mut disconnect = DisconnectGuard { id, place: Some(place) };
+        let mut disconnect = DisconnectGuard { id, permit: Some(permit) };
         let message = Message::Request(Box::new(incoming_request(id, request, body, received, reply)));
         if self.dispatcher.send(message).await.is_err() {
             return FinalAnswer::Failed;
@@ -155,7 +155,7 @@
     }
 }
 
-/// What the dispatcher gets of a request.
+/// Converts a parsed request to the dispatcher's message.
 fn incoming_request(
     id: RequestId,
     parsed: ParsedRequest,
@@ -185,23 +185,23 @@
     IncomingRequest { request, received, forward, reply }
 }
 
-/// Reports the client's disconnect unless it is disarmed before: a client that disconnects drops the future that
-/// handles its request, and this with it.
+/// Reports the client's disconnect when it is dropped, unless it has been disarmed: when a client disconnects, the
+/// future that handles its request is dropped, and this guard with it.
 struct DisconnectGuard {
     id: RequestId,
-    place: Option<mpsc::OwnedPermit<Message>>,
+    permit: Option<mpsc::OwnedPermit<Message>>,
 }
 
 impl DisconnectGuard {
     fn disarm(&mut self) {
-        self.place = None;
+        self.permit = None;
     }
 }
 
 impl Drop for DisconnectGuard {
     fn drop(&mut self) {
-        if let Some(place) = self.place.take() {
-            place.send(Message::ClientDisconnected(self.id));
+        if let Some(permit) = self.permit.take() {
+            permit.send(Message::ClientDisconnected(self.id));
         }
     }
 }
--- a/crates/node/src/downstream/listener.rs
+++ b/crates/node/src/downstream/listener.rs
@@ -1,4 +1,4 @@
-//! Accepts client connections, as far as there is a place for them.
+//! Accepts client connections up to the configured limit.
 
 use super::server::Server;
 use crate::logging::log_peer;
@@ -7,15 +7,15 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
-/// How soon an accept that failed is tried again, and how soon another connection is evicted.
+/// How long to wait after a failed accept, and before evicting another connection.
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Accepts connections and hands them to the server.
 pub struct Acceptor {
     listener: TcpListener,
     server: Rc<Server>,
-    /// A connection that is accepted and waits for a place. It outlives a cancelled [`Self::run`], since it may hold a
-    /// request already.
+    /// An accepted connection that waits until the registry is not full. It survives the cancellation of
+    /// [`Self::run`], since its client may have sent a request already.
     pending: Option<TcpStream>,
 }
 
@@ -32,14 +32,14 @@
                 self.accept().await;
             }
             if self.pending.is_some() {
-                self.wait_for_place().await;
+                self.wait_for_capacity().await;
             }
             self.serve_pending();
         }
     }
 
-    /// Serves what has been accepted or waits to be, whether there is a place or not, and closes the listener. A
-    /// connection that waits in the queue may hold a request already: closing the listener would reset it.
+    /// Serves the connections that are pending or in the kernel's accept queue, even if the registry is full, and
+    /// closes the listener. Clients may have sent requests on queued connections, which closing would reset.
     pub async fn finish(mut self) {
         self.serve_pending();
         while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, self.listener.accept()).await {
@@ -47,8 +47,7 @@
         }
     }
 
-    /// Accepts one connection. A failure, for want of descriptors or since the client has left already, is no reason
-    /// to end.
+    /// Accepts one connection. Failures are temporary: no descriptor is free, or the client has disconnected already.
     async fn accept(&mut self) {
         match self.listener.accept().await {
             Ok((stream, _)) => self.pending = Some(stream),
@@ -60,7 +59,7 @@
         }
     }
 
-    async fn wait_for_place(&self) {
+    async fn wait_for_capacity(&self) {
         let registry = self.server.registry();
         while registry.is_full() {
             registry.evict_one();
--- a/crates/node/src/downstream/mod.rs
+++ b/crates/node/src/downstream/mod.rs
@@ -35,7 +35,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-/// New connections go on coming for up to 0.4 s after SIGTERM: they are accepted for a little longer than that.
+/// New connections may arrive for up to 0.4 s after SIGTERM: they are accepted for a little longer than that.
 const ACCEPT_WHILE_DRAINING: Duration = Duration::from_millis(450);
 /// How long the connections accepted last have to send their requests before idle ones are closed, and how long
 /// clients have to end their connections after the last answers.
@@ -94,8 +94,8 @@
         }
     }
 
-    /// Every admitted request is owed an answer, however long its client says that it waits: it gets one now. Other
-    /// connections have sent half a request at most.
+    /// Gives every admitted request its final answer now, however long its client would still wait. No other
+    /// connection can have sent a whole request.
     async fn end_overdue(&self) {
         let _ = self.dispatcher.send(Message::Shutdown).await; // fails only when the dispatcher has ended
         if timeout(LAST_REQUESTS, self.registry.wait_until_empty()).await.is_err() {
--- a/crates/node/src/downstream/open_calls.rs
+++ b/crates/node/src/downstream/open_calls.rs
@@ -1,4 +1,4 @@
-//! The X-Call-Ids of the requests in flight. Two requests at once with one id could not be told apart by endpoints.
+//! The X-Call-Ids of the requests in flight. Endpoints could not distinguish two concurrent requests with one id.
 
 use hyper::header::HeaderValue;
 use std::cell::RefCell;
--- a/crates/node/src/downstream/phase.rs
+++ b/crates/node/src/downstream/phase.rs
@@ -7,7 +7,7 @@
     Serving,
     /// The node is unready: requests are still served, but each connection closes with its next response.
     Draining,
-    /// What still comes has no time left to be served, and is shed.
+    /// There is no time left to serve further requests: they are shed.
     Shedding,
 }
 
--- a/crates/node/src/downstream/registry.rs
+++ b/crates/node/src/downstream/registry.rs
@@ -10,7 +10,7 @@
 
 /// How often timeouts are enforced.
 const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// How long a closing connection may take before another one's place is needed so much that it is aborted.
+/// How long a closing connection may take before it is aborted, if the registry is full.
 const EVICTION_GRACE: Duration = Duration::from_millis(10);
 
 /// All open client connections.
@@ -41,12 +41,12 @@
         Registration { registry: self.clone(), id }
     }
 
-    /// Whether there is no place for another connection.
+    /// Whether the limit is reached.
     pub fn is_full(&self) -> bool {
         self.connections.borrow().len() >= self.max_connections
     }
 
-    /// A connection has fallen idle: whoever waits for a place may evict it.
+    /// A connection has fallen idle, and can be evicted if the registry is full.
     pub fn notify_idle(&self) {
         if self.is_full() {
             self.changed.notify_one();
@@ -65,7 +65,7 @@
         }
     }
 
-    /// Makes a place by closing one connection between requests, unless one is closing already.
+    /// Makes room for a new connection by closing an idle one, unless one is closing already.
     pub fn evict_one(&self) {
         let connections = self.connections.borrow();
         let closing = connections.values().filter(|connection| connection.closing_since().is_some());
@@ -75,7 +75,7 @@
         }
     }
 
-    /// Asks all idle connections to end. Those with a request close with its response.
+    /// Closes all idle connections. The others close with their next response.
     pub fn shut_down_idle(&self) {
         let connections = self.connections.borrow();
         for connection in connections.values() {
@@ -112,7 +112,7 @@
         }
     }
     idle.sort_unstable_by_key(|(rank, _)| *rank);
-    // The kernel is asked in this order only, since that takes a system call for each.
+    // Each check is a system call, so it is made in this order and only until one succeeds.
     if let Some((_, connection)) = idle.iter().find(|(_, connection)| connection.has_nothing_to_read()) {
         connection.close();
     }
--- a/crates/node/src/downstream/response.rs
+++ b/crates/node/src/downstream/response.rs
@@ -8,7 +8,7 @@
 use hyper::{Response, StatusCode};
 use std::time::Duration;
 
-/// A response whose body is whole.
+/// A response whose body is in memory.
 pub type FullResponse = Response<Full<Bytes>>;
 
 /// A response without a body.
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -18,7 +18,7 @@
 const PEER_LINES_INTERVAL: Duration = Duration::from_secs(1);
 /// How long [`flush`] waits.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
-/// The writer needs little.
+/// The writer's thread needs little stack.
 const WRITER_STACK_BYTES: usize = 64 * 1024;
 
 /// An entry of the writer's queue.
--- a/crates/node/src/memory_budget.rs
+++ b/crates/node/src/memory_budget.rs
@@ -15,12 +15,12 @@
 }
 
 impl Budget {
-    /// A budget of so many bytes.
+    /// Creates a budget of `bytes`.
     pub fn new(bytes: usize) -> Self {
         Budget(Arc::new(AtomicUsize::new(bytes)))
     }
 
-    /// Leases so many bytes; `None` if fewer are left.
+    /// Leases `bytes`; `None` if fewer are left.
     pub fn lease(&self, bytes: usize) -> Option<Lease> {
         let subtract = |left: usize| left.checked_sub(bytes);
         self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract).ok()?;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -20,7 +20,7 @@
     AttemptEnded(AttemptResult),
     /// A health check has ended.
     HealthCheckEnded(HealthCheckResult),
-    /// The endpoint list has changed, or could not be had.
+    /// The endpoint list has changed, or could not be fetched.
     EndpointList(EndpointListUpdate),
     /// The node ends: every request in flight gets its final answer now.
     Shutdown,
@@ -43,7 +43,7 @@
 pub enum FinalAnswer {
     /// An endpoint's response body.
     Served(Bytes),
-    /// Shed: the request never ran. With the time after which the client may retry, if clients are told one.
+    /// Shed: the request never ran. Carries the delay after which the client may retry, if it is to be told.
     Shed(Option<Duration>),
     /// Failed: the request may have run.
     Failed,
@@ -128,7 +128,7 @@
     pub address: SocketAddr,
 }
 
-/// News of the endpoint list.
+/// An update of the endpoint list.
 pub struct EndpointListUpdate {
     /// Whether the endpoints are the whole list or changes to it.
     pub kind: ListKind,
@@ -136,7 +136,7 @@
     pub endpoints: Vec<ListedEndpoint>,
 }
 
-/// What the balancer wants of discovery, where the endpoint list is polled.
+/// A command from the balancer to discovery.
 pub enum DiscoveryCommand {
     /// Watch for changes, or stop watching.
     Subscribe(bool),
--- a/crates/node/src/request_table.rs
+++ b/crates/node/src/request_table.rs
@@ -13,7 +13,7 @@
 /// A request and its attempts.
 struct InFlightRequest {
     forward: Rc<ForwardedRequest>,
-    /// The way to the client, until the final answer has gone there or the client has disconnected.
+    /// Where the final answer goes; `None` once it has been sent or the client has disconnected.
     reply: Option<oneshot::Sender<FinalAnswer>>,
     /// In the order of their start: an attempt's number is its position.
     attempts: Vec<AttemptEntry>,
@@ -109,7 +109,7 @@
     }
 }
 
-/// The size of a table.
+/// The number of entries in a table.
 #[cfg(test)]
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Usage {
@@ -139,7 +139,7 @@
         self.requests.insert(id, request);
     }
 
-    /// Gives the final answer, and is the only place that does. False if none is owed any more.
+    /// Sends the final answer: nothing else does. Returns false if none is owed any more.
     pub fn answer(&mut self, id: RequestId, answer: FinalAnswer) -> bool {
         let Some(reply) = self.take_reply(id) else { return false };
         // An error means that the client has just disconnected: then no answer is owed.
@@ -147,7 +147,7 @@
         true
     }
 
-    /// The client has disconnected, and is owed no answer. False if none was owed before.
+    /// The client has disconnected, and is owed no answer. Returns false if none was owed before.
     pub fn abandon(&mut self, id: RequestId) -> bool {
         self.take_reply(id).is_some()
     }
@@ -262,7 +262,7 @@
         Some(timer)
     }
 
-    /// The size of the table.
+    /// The number of entries.
     #[cfg(test)]
     pub fn usage(&self) -> Usage {
         Usage { requests: self.requests.len(), timers: self.timers.len() }
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -19,15 +19,15 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinError, spawn_local};
 
-/// Messages to the dispatcher that may wait. Each client's request reserves one place for its disconnect.
-const MESSAGE_QUEUE: usize = 4096;
-/// Commands to discovery that may wait.
-const DISCOVERY_QUEUE: usize = 16;
+/// The capacity of the dispatcher's inbox. Each request in flight reserves a slot for its client's disconnect.
+const DISPATCHER_INBOX: usize = 4096;
+/// The capacity of discovery's inbox.
+const DISCOVERY_INBOX: usize = 16;
 
-/// Why the node could not start, or ended before it was asked to.
+/// Why the node could not start, or stopped without being asked to.
 #[derive(Debug, Error)]
 pub enum NodeError {
-    /// There is no runtime.
+    /// The async runtime could not be built.
     #[error("cannot start: {0}")]
     Runtime(#[source] io::Error),
     /// The signal handlers could not be installed.
@@ -45,7 +45,7 @@
         #[source]
         cause: io::Error,
     },
-    /// The address that is listened on cannot be found out.
+    /// The listener's local address is not known.
     #[error("cannot listen: {0}")]
     LocalAddress(#[source] io::Error),
     /// The dispatcher's task has ended.
@@ -56,15 +56,23 @@
     DiscoveryEnded(Result<(), JoinError>),
 }
 
-/// Runs a node from its configuration to the end of its graceful shutdown.
+/// Reads the configuration, and runs the node until its graceful shutdown is complete.
 pub async fn run() -> Result<(), NodeError> {
     let signals = Signals::install().map_err(NodeError::Signals)?;
     let config = Rc::new(Config::from_env()?);
     let listener = bind(config.listen).await?;
+    serve(config, listener, signals).await
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(address).await.map_err(|cause| NodeError::Bind { address, cause })
+}
 
+/// Builds the parts, connects them, and runs them until the downstream side has drained.
+async fn serve(config: Rc<Config>, listener: TcpListener, signals: Signals) -> Result<(), NodeError> {
     let clock = Clock::start();
-    let (messages, mut inbox) = mpsc::channel(MESSAGE_QUEUE);
-    let (discovery_commands, discovery_inbox) = mpsc::channel(DISCOVERY_QUEUE);
+    let (messages, mut inbox) = mpsc::channel(DISPATCHER_INBOX);
+    let (discovery_commands, discovery_inbox) = mpsc::channel(DISCOVERY_INBOX);
     let (address_sender, discovery_address) = watch::channel(config.discovery);
     let budget = Budget::new(config.body_bytes);
     let pool = Pool::start(clock, &config, REST);
@@ -89,10 +97,6 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, NodeError> {
-    TcpListener::bind(address).await.map_err(|cause| NodeError::Bind { address, cause })
-}
-
 fn dispatcher_options(config: &Config) -> DispatcherOptions {
     DispatcherOptions { settings: config.site.settings.clone(), seed: config.seed }
 }
