--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -4,7 +4,7 @@
 use super::*;
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::dispatcher::Dispatcher;
+use crate::dispatcher::{Dispatcher, DispatcherOptions};
 use crate::memory_budget::Budget;
 use crate::upstream::Upstream;
 use ottertiller_balancer::settings::millis;
@@ -103,8 +103,10 @@
         let (messages, mut inbox) = mpsc::channel(64);
         let (commands, discovery_commands) = mpsc::channel(16);
         let (_address_changes, addresses) = watch_channel::channel(config.discovery);
-        let upstream = Upstream::start(clock, crate::upstream_options(&config), Budget::new(1 << 20));
-        let mut node = Dispatcher::new(clock, &config, upstream, messages.clone(), commands);
+        let upstream =
+            Upstream::start(clock, crate::startup::upstream_options(&config), Budget::new(1 << 20));
+        let options = DispatcherOptions { settings: config.site.settings.clone(), seed: config.seed };
+        let mut node = Dispatcher::new(clock, options, upstream, messages.clone(), commands);
         let node = spawn_local(async move { node.run(&mut inbox).await });
         // The first call is not after a failed one: the failure lasts for so long from there.
         let first = Duration::from_secs(1)
@@ -112,7 +114,8 @@
         let reachable = Instant::now() + first + length;
         let peer = spawn_local(run_discovery(socket, failure, reachable));
         let discovery = spawn_local(
-            Discovery::new(crate::discovery_options(&config), messages).run(discovery_commands, addresses),
+            Discovery::new(crate::startup::discovery_options(&config), messages)
+                .run(discovery_commands, addresses),
         );
         // Time moves on by no more than this without the kernel having had a moment to hand on what it has.
         spawn_local(async {
--- /dev/null
+++ b/crates/node/src/startup.rs
@@ -0,0 +1,145 @@
+//! Builds the parts of the node from the configuration, connects them, and runs them until shutdown.
+
+use crate::clock::Clock;
+use crate::config::{Config, ConfigError};
+use crate::discovery::{self, Discovery};
+use crate::dispatcher::{Dispatcher, DispatcherOptions};
+use crate::downstream::{self, Downstream};
+use crate::logging::log;
+use crate::memory_budget::Budget;
+use crate::reload::reload_on_signal;
+use crate::signals::Signals;
+use crate::upstream::pool::RESPONSE_COOLDOWN;
+use crate::upstream::{self, Upstream};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinError, spawn_local};
+
+/// The capacity of the dispatcher's inbox. Each request in flight reserves a slot for its client's disconnect.
+const DISPATCHER_INBOX: usize = 4096;
+/// The capacity of discovery's inbox.
+const DISCOVERY_INBOX: usize = 16;
+
+/// Why the node could not start, or stopped without being asked to.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// The async runtime could not be built.
+    #[error("cannot start: {0}")]
+    Runtime(#[source] io::Error),
+    /// The signal handlers could not be installed.
+    #[error("cannot listen for signals: {0}")]
+    Signals(#[source] io::Error),
+    /// The configuration cannot be used.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// The address for clients cannot be listened on.
+    #[error("cannot listen on {address}: {cause}")]
+    Bind {
+        /// The configured address.
+        address: SocketAddr,
+        /// Why not.
+        #[source]
+        cause: io::Error,
+    },
+    /// The listener's local address is not known.
+    #[error("cannot listen: {0}")]
+    LocalAddress(#[source] io::Error),
+    /// The dispatcher's task has ended.
+    #[error("the node ended: {0:?}")]
+    DispatcherEnded(Result<(), JoinError>),
+    /// Discovery's task has ended.
+    #[error("discovery ended: {0:?}")]
+    DiscoveryEnded(Result<(), JoinError>),
+}
+
+/// Reads the configuration, and runs the node until its graceful shutdown is complete.
+pub async fn run() -> Result<(), NodeError> {
+    let signals = Signals::install().map_err(NodeError::Signals)?;
+    let config = Rc::new(Config::from_env()?);
+    let listener = bind(config.listen).await?;
+    serve(config, listener, signals).await
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(address).await.map_err(|cause| NodeError::Bind { address, cause })
+}
+
+/// Builds the parts, connects them, and runs them until the downstream side has drained.
+async fn serve(config: Rc<Config>, listener: TcpListener, signals: Signals) -> Result<(), NodeError> {
+    let clock = Clock::start();
+    let (messages, mut inbox) = mpsc::channel(DISPATCHER_INBOX);
+    let (discovery_commands, discovery_inbox) = mpsc::channel(DISCOVERY_INBOX);
+    let (address_sender, discovery_address) = watch::channel(config.discovery);
+    let budget = Budget::new(config.body_bytes);
+    let upstream = Upstream::start(clock, upstream_options(&config), budget.clone());
+    let discovery = Discovery::new(discovery_options(&config), messages.clone());
+    let is_ready = discovery.ready();
+    let dispatcher_options = dispatcher_options(&config);
+    let mut dispatcher =
+        Dispatcher::new(clock, dispatcher_options, upstream, messages.clone(), discovery_commands);
+    let downstream = Downstream::new(clock, downstream_options(&config), budget, messages, is_ready);
+
+    let mut dispatcher = spawn_local(async move { dispatcher.run(&mut inbox).await });
+    let mut discovery = spawn_local(discovery.run(discovery_inbox, discovery_address));
+    spawn_local(reload_on_signal(signals.reload, config.clone(), address_sender));
+    let address = listener.local_addr().map_err(NodeError::LocalAddress)?;
+    log(format_args!("{} listens on {address}", config.name));
+
+    tokio::select! {
+        () = downstream.run(listener, signals.shutdown.recv()) => Ok(()),
+        result = &mut dispatcher => Err(NodeError::DispatcherEnded(result)),
+        result = &mut discovery => Err(NodeError::DiscoveryEnded(result)),
+    }
+}
+
+fn dispatcher_options(config: &Config) -> DispatcherOptions {
+    DispatcherOptions { settings: config.site.settings.clone(), seed: config.seed }
+}
+
+fn downstream_options(config: &Config) -> downstream::Options {
+    let names = config.site.class_names.iter();
+    let classes = names.zip(&config.site.settings.classes).map(|(name, class)| downstream::RequestClass {
+        name: name.clone(),
+        idempotency: class.idempotency,
+        deadline: class.deadline,
+    });
+    downstream::Options {
+        max_connections: config.client_connections,
+        classes: classes.collect(),
+        tenants: config.site.tenant_names.clone(),
+        max_retry_after: config.site.settings.limits.max_retry_after,
+    }
+}
+
+/// What the upstream side takes from the configuration.
+pub fn upstream_options(config: &Config) -> upstream::Options {
+    let pool = upstream::pool::Options {
+        max_connections: config.backend_connections,
+        connect_timeout: config.site.settings.limits.connect_timeout,
+        endpoint_idle_timeout: config.site.idle_close,
+        response_cooldown: RESPONSE_COOLDOWN,
+    };
+    upstream::Options {
+        pool,
+        load_report_source: config.site.settings.load_reports,
+        load_report_columns: config.site.columns.clone(),
+    }
+}
+
+/// What discovery takes from the configuration.
+pub fn discovery_options(config: &Config) -> discovery::Options {
+    let site = &config.site;
+    discovery::Options {
+        address: config.discovery,
+        cached_list: config.known.clone(),
+        seed: config.seed,
+        poll: site.settings.poll_endpoints,
+        drain_grace: site.settings.rules.drain_grace,
+        zone_names: site.zone_names.clone(),
+        kind_names: site.kind_names.clone(),
+    }
+}
--- a/crates/node/src/upstream/health_check.rs
+++ b/crates/node/src/upstream/health_check.rs
@@ -16,12 +16,12 @@
 const LIVENESS_PATH: &str = "/health/live";
 
 impl Upstream {
-    /// Checks an endpoint's health; `sent` is when the check was decided on.
-    pub async fn check_health(self: Rc<Self>, endpoint: EndpointId, sent: Duration) -> HealthCheckResult {
+    /// Checks an endpoint's health; `started` is when the check was decided on.
+    pub async fn check_health(self: Rc<Self>, endpoint: EndpointId, started: Duration) -> HealthCheckResult {
         let exchange = timeout(HEALTH_CHECK_TIMEOUT, self.exchange_health_check(endpoint)).await;
         let result = exchange.unwrap_or(ExchangeResult::without_response(Outcome::TimedOut));
         let report = self.report_of_health_check(&result);
-        HealthCheckResult { endpoint, outcome: result.outcome, sent, report }
+        HealthCheckResult { endpoint, outcome: result.outcome, started, report }
     }
 
     async fn exchange_health_check(&self, endpoint: EndpointId) -> ExchangeResult {
