Split the balancer's interface by message, with a typed settings error

Cause: one file held settings, events, actions, endpoints and requests, and the settings parser returned bare strings, so callers could not tell one cause from another.

Change: events, actions, endpoints, requests and typed settings have a module each, the settings file is read in settings/file.rs and returns SettingsError; its docs use the terms of the field. The paths at the crate root and under `settings` stay as they were. Callers format the error; no behaviour changes.

--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -1,18 +1,28 @@
 //! The decisions of a load-balancing proxy, without the proxy.
 //!
-//! A [`Balancer`] is told what happens at one node and answers with what to do: where each request
-//! goes, when it is sent again, refused or given up. Its ordinary path is Join-Up-To(m). It does no
-//! input or output, reads no clock and shares nothing with other nodes; the same events always give
-//! the same actions.
+//! A [`Balancer`] is told by [`Event`]s what happens at one node and answers with [`Action`]s: which
+//! endpoint each request goes to, when it is retried, hedged, shed or failed. Its ordinary path is
+//! Join-Up-To(m). The crate is sans-I/O: it reads no clock, opens no socket and shares nothing with
+//! other nodes; the same events always give the same actions.
 #![warn(missing_docs)]
 
-mod interface;
+mod action;
+mod endpoint;
+mod event;
 mod policy;
+mod request;
 pub mod settings;
 mod state;
 
-pub use interface::*;
-pub use policy::{Balancer, TableSizes};
+pub use action::Action;
+pub use endpoint::{EndpointEntry, EndpointId, EndpointState, ListKind, LoadReport};
+pub use event::{Event, HealthCheckEnd};
+pub use request::{AttemptEnd, NewRequest, Outcome, RequestId};
+pub use settings::{
+    Goal, Idempotency, Limits, LoadReportSource, Prices, RequestClass, Rules, Scope, Settings, SettingsError,
+    Tenant,
+};
+pub use state::{Balancer, TableSizes};
 
 /// The README's example, compiled as a test.
 #[cfg(doctest)]
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -1,11 +1,11 @@
 //! The decisions of a node; those on probes are in `src/policy/probing.rs`. Types, events and actions are
-//! in `src/interface.rs`; what a node remembers of servers and requests in `src/state.rs`.
+//! in modules of their own; what a node remembers of servers and requests in `src/state.rs`.
 
 mod probing;
 
-use crate::interface::*;
 use crate::state::{Attempt, Rate, Request, Server};
-pub use crate::state::{Balancer, TableSizes};
+
+use crate::*;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use std::time::Duration;
--- a/crates/balancer/src/policy/probing.rs
+++ b/crates/balancer/src/policy/probing.rs
@@ -1,8 +1,8 @@
 //! Probes: which requests are worth them, whom they go to, and what they tell.
 
 use super::SMOOTH;
-use crate::interface::*;
-use crate::state::{Balancer, Request, Server};
+use crate::state::{Request, Server};
+use crate::*;
 use std::time::Duration;
 
 /// So many servers are probed for a request: the better of two is nearly as good as the best of all.
--- a/crates/balancer/src/settings.rs
+++ b/crates/balancer/src/settings/file.rs
@@ -1,67 +1,16 @@
-//! The settings text that a node starts with: JSON in the wire's words, turned into the module's
-//! [`Settings`] and the names by which the rest of a node knows things.
+//! The settings file: JSON in the words of the wire protocol, turned into typed [`Settings`] and the names by
+//! which the rest of a node knows classes, tenants and zones.
 
-use crate::interface::*;
+use super::*;
 use serde::Deserialize;
 use std::time::Duration;
 
-/// A load report's columns, in the order of their values.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Column {
-    /// Requests held.
-    Concurrent,
-    /// Requests waiting.
-    Depth,
-    /// The fraction of the processors in use.
-    LoadShare,
-    /// The recent service time.
-    MeanMs,
-    /// Requests served in a second.
-    Tps,
-    /// Errors in a second.
-    ErrPs,
-    /// One that this version does not know.
-    #[serde(other)]
-    Unknown,
-}
-
-impl Column {
-    /// The column that a load report in a header or a probe's body calls by this name: the settings' own, or
-    /// the protocol's.
-    pub fn on_sockets(name: &str) -> Self {
-        match name {
-            "concurrent" | "inflight" => Column::Concurrent,
-            "depth" | "queue" => Column::Depth,
-            "load_share" | "util" => Column::LoadShare,
-            "mean_ms" | "latency_ms" => Column::MeanMs,
-            "tps" | "qps" => Column::Tps,
-            "err_ps" | "eps" => Column::ErrPs,
-            _ => Column::Unknown,
-        }
-    }
-
-    /// Puts a value in its place. What is no finite number is left out.
-    pub fn set(self, report: &mut LoadReport, value: f32) {
-        let field = match self {
-            Column::Concurrent => &mut report.in_flight,
-            Column::Depth => &mut report.queue,
-            Column::LoadShare => &mut report.utilisation,
-            Column::MeanMs => &mut report.latency_ms,
-            Column::Tps => &mut report.throughput,
-            Column::ErrPs => &mut report.errors,
-            Column::Unknown => return,
-        };
-        *field = value.is_finite().then_some(value);
-    }
-}
-
-/// All that a node takes from its settings text.
+/// All that a node reads from its settings file.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Site {
-    /// What the module is told.
+    /// The settings of its balancer.
     pub settings: Settings,
-    /// Which value of a load report is which.
+    /// The columns of a load report, in order.
     pub columns: Vec<Column>,
     /// The names of the classes, in the order of [`Settings::classes`].
     pub class_names: Vec<String>,
@@ -69,9 +18,9 @@
     pub tenant_names: Vec<String>,
     /// The names of the zones, in the order of their numbers.
     pub zone_names: Vec<String>,
-    /// The names of the machine kinds, in the order of their numbers.
+    /// The names of the machine types, in the order of their numbers.
     pub kind_names: Vec<String>,
-    /// A server closes a connection that has been idle for so long.
+    /// An endpoint closes a connection that has been idle for this long.
     pub idle_close: Duration,
 }
 
@@ -231,7 +180,7 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-struct Raw {
+struct RawSettings {
     #[serde(default = "one_node")]
     n_instances: u32,
     #[serde(default)]
@@ -273,28 +222,36 @@
     1
 }
 
-/// A number of milliseconds as a time; whatever is no time at all becomes zero or the longest kept.
+/// A number of milliseconds as a [`Duration`]; out-of-range values are clamped, `NaN` becomes zero.
 pub fn millis(ms: f64) -> Duration {
     const LONGEST_US: f64 = 1e18;
     Duration::from_micros((ms * 1000.0).round().clamp(0.0, LONGEST_US) as u64)
 }
 
-/// Reads the settings text.
-pub fn parse(text: &[u8]) -> Result<Site, String> {
-    let raw: Raw = serde_json::from_slice(text).map_err(|e| format!("bad settings: {e}"))?;
+/// Parses a settings file.
+pub fn parse(text: &[u8]) -> Result<Site, SettingsError> {
+    let raw: RawSettings = serde_json::from_slice(text)?;
     if raw.classes.is_empty() {
-        return Err("bad settings: no classes".into());
+        return Err(SettingsError::NoClasses);
     }
-    let settings = Settings {
+    Ok(Site {
+        settings: settings(&raw),
+        columns: raw.load_report.columns,
+        class_names: raw.classes.into_iter().map(|class| class.name).collect(),
+        tenant_names: raw.projects.into_iter().map(|tenant| tenant.name).collect(),
+        zone_names: raw.localities,
+        kind_names: raw.host_types,
+        idle_close: millis(raw.permissions.idle_close),
+    })
+}
+
+fn settings(raw: &RawSettings) -> Settings {
+    Settings {
         node_count: raw.n_instances.max(1),
         node_index: raw.ordinal,
         zone: raw.zone,
         classes: raw.classes.iter().map(class).collect(),
-        tenants: raw
-            .projects
-            .iter()
-            .map(|t| Tenant { quota_per_s: t.allowance_per_s, quota_share: t.share })
-            .collect(),
+        tenants: raw.projects.iter().map(tenant).collect(),
         over_quota_weight: raw.over_share_worth,
         weight_by_work: matches!(raw.counted_by, CountedBy::Work),
         load_reports: match raw.load_report.via {
@@ -304,31 +261,11 @@
         },
         limits: limits(&raw.permissions),
         rules: rules(&raw.rules),
-        prices: Prices {
-            health_check: raw.prices.probe,
-            cross_zone: raw.prices.cross_zone,
-            waste: raw.prices.waste,
-            late_failure: raw.prices.late_fail,
-            connections: raw.prices.connection + raw.prices.handshake,
-        },
-        goal: Goal {
-            whole: raw.goal.whole,
-            worst_window: raw.goal.worst_window,
-            worst_class: raw.goal.worst_class,
-            worst_tenant: raw.goal.worst_tenant,
-        },
+        prices: prices(&raw.prices),
+        goal: goal(&raw.goal),
         poll_endpoints: matches!(raw.registry_mode, Mode::Ask),
         tick: millis(raw.quantum),
-    };
-    Ok(Site {
-        settings,
-        columns: raw.load_report.columns,
-        class_names: raw.classes.into_iter().map(|class| class.name).collect(),
-        tenant_names: raw.projects.into_iter().map(|tenant| tenant.name).collect(),
-        zone_names: raw.localities,
-        kind_names: raw.host_types,
-        idle_close: millis(raw.permissions.idle_close),
-    })
+    }
 }
 
 fn class(raw: &RawClass) -> RequestClass {
@@ -352,6 +289,10 @@
     }
 }
 
+fn tenant(raw: &RawTenant) -> Tenant {
+    Tenant { quota_per_s: raw.allowance_per_s, quota_share: raw.share }
+}
+
 fn limits(raw: &RawLimits) -> Limits {
     Limits {
         max_attempts: raw.attempts_cap,
@@ -373,3 +314,22 @@
         poll_interval: millis(raw.must_ask_in),
     }
 }
+
+fn prices(raw: &RawPrices) -> Prices {
+    Prices {
+        health_check: raw.probe,
+        cross_zone: raw.cross_zone,
+        waste: raw.waste,
+        late_failure: raw.late_fail,
+        connections: raw.connection + raw.handshake,
+    }
+}
+
+fn goal(raw: &RawGoal) -> Goal {
+    Goal {
+        whole: raw.whole,
+        worst_window: raw.worst_window,
+        worst_class: raw.worst_class,
+        worst_tenant: raw.worst_tenant,
+    }
+}
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -1,6 +1,6 @@
 //! What a node remembers of servers and requests: types and their plain arithmetic, no decisions.
 
-use crate::interface::*;
+use crate::*;
 use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -86,7 +86,7 @@
             "" => 0,
             seed => u64::from_str_radix(seed, 16).map_err(|e| format!("seed: {e}"))?,
         };
-        let site = settings::parse(file.settings.get().as_bytes())?;
+        let site = settings::parse(file.settings.get().as_bytes()).map_err(|e| e.to_string())?;
         // Two numbers would mean the same class or tenant if a name stood twice.
         for names in [&site.class_names, &site.tenant_names, &site.zone_names] {
             if names.iter().enumerate().any(|(i, name)| name.is_empty() || names[..i].contains(name)) {
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -20,7 +20,7 @@
 
 impl Instance {
     fn start(settings: &[u8], seed: u64) -> Result<Self, String> {
-        let site = settings::parse(settings)?;
+        let site = settings::parse(settings).map_err(|e| e.to_string())?;
         Ok(Instance { balancer: Balancer::new(site.settings, seed), columns: site.columns })
     }
 
