Give the retry budget, client retries and endpoint polling types of their own

Cause: their state lay among the forty fields of the balancer, which every function may touch.

Change: RetryBudget, ClientRetries and EndpointPolling own their state and constants; rates, token buckets and random draws moved to arithmetic.rs. No behaviour changes.

--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -7,10 +7,13 @@
 #![warn(missing_docs)]
 
 mod action;
+mod arithmetic;
 mod endpoint;
+mod endpoint_polling;
 mod event;
 mod policy;
 mod request;
+mod retry;
 pub mod settings;
 mod state;
 
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -3,20 +3,15 @@
 
 mod probing;
 
-use crate::state::{Attempt, Rate, Request, Server};
+use crate::arithmetic::{Random, SMOOTHING as SMOOTH, smooth};
+use crate::state::{Attempt, Request, Server};
 
 use crate::*;
-use rand_pcg::Pcg32;
-use rand_pcg::rand_core::{RngCore, SeedableRng};
 use std::time::Duration;
 
 const TICK: u64 = u64::MAX; // the token of the housekeeping timer; a request's timers carry its id
 /// The share of the service that connections may cost: little beside what blind sends cost.
 const PRICE_SPEND: f64 = 0.01;
-/// Further attempts, as a share of first attempts: the usual retry budget.
-const RETRY_SHARE: f64 = 0.4;
-/// One observation's weight in a smoothed value: the last handful of observations decide.
-const SMOOTH: f64 = 1.0 / 8.0;
 /// A server is to be seen so often within the memory of rates, or else fewer are used, but not under a few.
 const SIGHTINGS: f64 = 3.0;
 const FEW: f64 = 6.0;
@@ -29,13 +24,6 @@
 const COLD_SPEND: f64 = 0.6;
 const COLD_LOAD: f64 = 1.6;
 const HEAVY: f64 = 2.0; // nothing of more than so many times the usual work goes to a cold server
-/// What a silent watch misses counts as told 6 s after it fell silent, and most of that passes unnoticed.
-const REOPEN: Duration = Duration::from_millis(500);
-/// What a failed call misses counts as told 6 s after discovery can be reached, however long the site lets a
-/// node go without asking. A silent call takes most of that, so this is the longest wait before the next one.
-const CALL_AGAIN: Duration = Duration::from_millis(1250);
-/// And so long an answer may be out at the most before discovery is asked again.
-const TOLD_AFTER: Duration = Duration::from_secs(6);
 /// Crowding beyond this many requests is treated alike, and no more servers than this are compared.
 const LEVELS: usize = 64;
 
@@ -54,13 +42,13 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let latency_objective =
             settings.classes.iter().map(|c| c.latency_objective).min().unwrap_or_default();
-        let mut node = Balancer::empty(settings, Pcg32::seed_from_u64(seed));
+        let mut node = Balancer::empty(settings, Random::new(seed));
         node.usual_times =
             node.settings.classes.iter().map(|c| c.latency_objective.as_secs_f64() / 2.0).collect();
         (node.answer_time, node.median) =
             (latency_objective.as_secs_f64() / 2.0, latency_objective.as_secs_f64() / 4.0);
         (node.sends, node.idle_signs, node.busy) = (1.0, 1.0, 0.5);
-        (node.in_time, node.taken, node.retry_tokens) = (vec![0.25; LEVELS], 2.0, 1.0 / RETRY_SHARE);
+        (node.in_time, node.taken) = (vec![0.25; LEVELS], 2.0);
         node.in_time[..2].fill(0.75);
         node
     }
@@ -73,8 +61,7 @@
             (self.started, self.part_at) = (self.now, self.now);
         }
         if first && self.settings.poll_endpoints {
-            // All nodes may have started together: they spread their first calls.
-            self.ask_at = Some(self.now + self.settings.rules.poll_interval.mul_f64(self.random() / 4.0));
+            self.polling.start(self.now, &mut self.random);
             self.on_tick(actions);
         }
         match event {
@@ -143,7 +130,7 @@
             let rate = (rules.overload_factor * COLD_SPEND).min(COLD_LOAD)
                 * self.warmth(&self.endpoints[&id])
                 * part;
-            let (chance, span) = (self.random(), rules.overload_window / 2);
+            let (chance, span) = (self.random.unit(), rules.overload_window / 2);
             let Some(endpoint) = self.endpoints.get_mut(&id) else { continue };
             let since = now.saturating_sub(endpoint.drawn).min(span).as_secs_f64();
             let won = chance < 1.0 - (-rate * since).exp();
@@ -157,14 +144,7 @@
         let near = self.enough().min(self.order.len());
         let warm = self.ring().take(near).filter(|id| self.warmth(&self.endpoints[id]) >= 1.0).count();
         let (total, by) = if warm > 0 { (&self.carried, warm) } else { (&self.arrived, near.max(1)) };
-        self.rate(total) / by as f64
-    }
-
-    /// How much of something there is a second. A node that has just started has seen only a part of the time
-    /// over which rates are taken.
-    fn rate(&self, of: &Rate) -> f64 {
-        let age = (self.now - self.started).as_secs_f64() / self.memory();
-        of.per_s(self.now, self.memory()) / (1.0 - (-age).exp()).max(SMOOTH)
+        total.per_second_since(self.started, self.now) / by as f64
     }
 
     /// Rates are taken over a few of the spans in which a cold server is judged.
@@ -231,28 +211,24 @@
     fn enough(&self) -> usize {
         let affordable = 100.0 * PRICE_SPEND / self.settings.prices.connections;
         let part = affordable * self.order.len() as f64 / f64::from(self.settings.node_count);
-        let rate = self.sent.per_s(self.now, self.memory());
+        let rate = self.sent.per_second(self.now);
         let sightings = SIGHTINGS / if self.probes_tell() { 2.0 } else { 1.0 };
         let in_view = (rate * self.memory()).max(FEW * SIGHTINGS) / sightings;
         (part.min(in_view).max(2.0 + rate * self.answer_time) as usize).min(LEVELS)
     }
 
-    fn random(&mut self) -> f64 {
-        f64::from(self.rng.next_u32()) / 2f64.powi(32)
-    }
-
     // ---- Sending ----------------------------------------------------------------------------
 
     /// Finds a server for a request that waits for its first or a further attempt.
     fn dispatch(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let (luck, draw) = (self.random(), self.random());
+        let (luck, draw) = (self.random.unit(), self.random.unit());
         self.draw_tickets();
         let Some(request) = self.requests.get(&id).filter(|r| !r.done && self.may_go(r)) else { return };
         let permitted =
             self.ring().filter_map(|id| self.endpoints.get(&id)).filter(|s| self.permitted(s, request));
         let permitted: Vec<_> = permitted.take(self.enough()).collect();
         let again = !request.attempts.is_empty();
-        if self.now >= request.until || again && (self.retry_tokens < 1.0 || permitted.is_empty()) {
+        if self.now >= request.until || again && (!self.retry_budget.allows_retry() || permitted.is_empty()) {
             return self.finish(id, actions);
         }
         if permitted.is_empty() {
@@ -325,9 +301,8 @@
         // Time is kept for one more attempt where there may be one: the server may stay silent.
         let (left, patience) = (request.until - now, self.patience_with(request));
         let repeatable = self.repeatable_for(request);
-        let more = repeatable > patience
-            && left > patience * 5 / 4
-            && self.retry_tokens >= if again { 2.0 } else { 1.0 };
+        let more =
+            repeatable > patience && left > patience * 5 / 4 && self.retry_budget.allows_retry_after(again);
         let hedged = self.settings.limits.parallel_attempts;
         // Where only one may be out, the first is given up for the next. Its server mostly goes on working on
         // it, so that is not done before the next one has just its time.
@@ -343,9 +318,11 @@
             s.load = s.load.map(|(load, at)| (load + 1.0, at));
         });
         actions.push(Action::StartAttempt { id, endpoint: to, timeout });
-        self.retry_tokens -= if again { 1.0 } else { 0.0 };
+        if again {
+            self.retry_budget.withdraw();
+        }
         self.held.retain(|held| *held != id);
-        self.sent.add(now, self.memory(), 1.0);
+        self.sent.add(now, 1.0);
         self.sends = self.sends * 0.998 + 1.0;
         self.idle_signs *= 0.998;
     }
@@ -391,7 +368,7 @@
                 self.median *= 1.0 + if above { SMOOTH } else { -SMOOTH } / 4.0;
                 self.answer_time += (end.elapsed.as_secs_f64() - self.answer_time) * SMOOTH / 4.0;
                 if self.endpoints.get(&end.endpoint).is_some_and(|s| self.warmth(s) >= 1.0) {
-                    self.carried.add(self.now, self.memory(), weight);
+                    self.carried.add(self.now, weight);
                 }
                 self.judge(end.endpoint, if tight { 0.5 } else { 0.0 }, SMOOTH * 2.0);
             }
@@ -426,7 +403,7 @@
     fn judge(&mut self, id: EndpointId, failed: f64, weight: f64) {
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
         endpoint.failing += (failed - endpoint.failing) * weight;
-        self.failing += (failed - self.failing) * SMOOTH / 2.0;
+        smooth(&mut self.failing, failed, SMOOTH / 2.0);
         if failed < 1.0 {
             (endpoint.ejected, endpoint.ejections) = (None, endpoint.ejections / 2);
             return;
@@ -494,12 +471,12 @@
         // The timer comes a tick late at most, and the answer must be there before the client leaves.
         let deadline = self.now + new.remaining.saturating_sub(2 * self.settings.tick);
         let stretch = new.cost_hint.unwrap_or_default().mul_f64(terms.objective_stretch.clamp(0.0, 1e3));
-        let latency_objective =
-            (self.now + terms.latency_objective + stretch).saturating_sub(self.spent(&new, class));
+        let latency_objective = (self.now + terms.latency_objective + stretch)
+            .saturating_sub(self.client_retries.time_spent(&new, class));
         let until = if terms.late_weight > 0.0 { deadline } else { deadline.min(latency_objective) };
         let weight = self.weigh(new.cost_hint);
-        self.arrived.add(self.now, self.memory(), weight);
-        self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(2.0 / RETRY_SHARE);
+        self.arrived.add(self.now, weight);
+        self.retry_budget.deposit();
         let (value, probed) = (self.value(class, new.tenant), !self.probes_tell());
         let request = Request { class, weight, value, until, probed, ..Request::default() };
         self.requests.insert(new.id, request);
@@ -512,26 +489,6 @@
         self.dispatch(new.id, actions);
     }
 
-    /// What a client has waited already, as far as it shows. Where a try may last the whole deadline, what is
-    /// left of it tells. A try that is cut shorter tells only once the rest is shorter still; until then a
-    /// marked repeat has waited at least as long as the soonest that did tell. Work for one past its aim only
-    /// feeds a jam.
-    fn spent(&mut self, new: &NewRequest, class: usize) -> Duration {
-        let deadline = self.settings.classes[class].deadline;
-        let first_try = if new.client_retry { self.patience[class] } else { new.remaining };
-        self.patience[class] = first_try;
-        let waited = deadline.saturating_sub(new.remaining);
-        if new.client_retry && first_try + deadline / 64 >= deadline {
-            self.backoff = Some(self.backoff.map_or(waited, |soonest| soonest.min(waited)));
-        }
-        let like_first = new.remaining.abs_diff(first_try) < first_try / 64;
-        match self.backoff {
-            _ if !like_first => waited,
-            Some(soonest) if new.client_retry => soonest.min(waited),
-            _ => Duration::ZERO,
-        }
-    }
-
     fn weigh(&mut self, cost: Option<Duration>) -> f64 {
         let Some(cost) = cost.map(|c| c.as_secs_f64()).filter(|c| *c > 0.0) else { return 1.0 };
         self.usual_cost += (cost - self.usual_cost) * if self.usual_cost == 0.0 { 1.0 } else { SMOOTH / 8.0 };
@@ -566,13 +523,11 @@
 
     fn on_list(&mut self, kind: ListKind, entries: Vec<EndpointEntry>) {
         if kind == ListKind::Failed {
-            let within = self.settings.rules.poll_interval;
-            self.ask_wait = (2 * self.ask_wait).clamp(REOPEN.min(within / 16), CALL_AGAIN.min(within / 2));
-            self.ask_at = Some(self.now + self.ask_wait.mul_f64(0.5 + self.random() / 2.0));
+            self.polling.on_failure(self.now, &mut self.random);
             return;
         }
         if kind != ListKind::Cached {
-            (self.ask_at, self.ask_wait) = (None, Duration::ZERO);
+            self.polling.on_list();
         }
         // One newly listed or restarted has the usual estimate: at zero all nodes would join it at once.
         let near = self.enough().min(self.order.len());
@@ -609,11 +564,10 @@
 
     /// Where the list must be asked for: asks when it is time, and again if no answer came.
     fn on_tick(&mut self, actions: &mut Vec<Action>) {
-        if self.ask_at.is_some_and(|at| self.now >= at) {
+        if self.polling.call_is_due(self.now) {
             actions.push(Action::Subscribe { enabled: true });
-            self.ask_at = Some(self.now + TOLD_AFTER.min(self.settings.rules.poll_interval / 2));
         }
-        let after = (self.settings.rules.poll_interval / 64).min(REOPEN / 2);
+        let after = self.polling.check_interval();
         actions.push(Action::SetTimer { after, token: TICK });
     }
 }
--- a/crates/balancer/src/policy/probing.rs
+++ b/crates/balancer/src/policy/probing.rs
@@ -44,7 +44,7 @@
         actions: &mut Vec<Action>,
     ) -> bool {
         for _ in 0..PROBES {
-            let draw = (self.random() * targets.len() as f64) as usize;
+            let draw = (self.random.unit() * targets.len() as f64) as usize;
             let Some(target) = targets.get(draw).copied() else { break };
             targets.retain(|t| *t != target);
             self.endpoints.entry(target).and_modify(|s| s.probing = true);
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -1,7 +1,10 @@
 //! What a node remembers of servers and requests: types and their plain arithmetic, no decisions.
 
+use crate::arithmetic::{DecayingRate, Random, TokenBucket};
+use crate::endpoint_polling::EndpointPolling;
+use crate::retry::budget::RetryBudget;
+use crate::retry::client_retry::ClientRetries;
 use crate::*;
-use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -68,44 +71,10 @@
     }
 }
 
-/// How much of something there was lately, forgotten over a fixed time.
-#[derive(Default)]
-pub struct Rate {
-    pub sum: f64,
-    pub at: Duration,
-}
-
-impl Rate {
-    pub fn add(&mut self, now: Duration, over: f64, amount: f64) {
-        *self = Rate { sum: self.per_s(now, over) * over + amount, at: now };
-    }
-    pub fn per_s(&self, now: Duration, over: f64) -> f64 {
-        self.sum * (-(now - self.at).as_secs_f64() / over).exp() / over
-    }
-}
-
-/// Requests still to be had at a rate; a second's worth may be saved.
-#[derive(Clone, Copy, Default)]
-pub struct Allowance {
-    pub left: f64,
-    pub at: Duration,
-}
-
-impl Allowance {
-    /// Takes one if there is one.
-    pub fn take(&mut self, now: Duration, rate: f64) -> bool {
-        self.left = (self.left + rate * (now - self.at).as_secs_f64()).min(rate.max(1.0));
-        self.at = now;
-        let some = self.left >= 1.0;
-        self.left -= if some { 1.0 } else { 0.0 };
-        some
-    }
-}
-
 /// The decisions of one node. They are made in `policy.rs`; this is what it remembers.
 pub struct Balancer {
     pub(crate) settings: Settings,
-    pub(crate) rng: Pcg32,
+    pub(crate) random: Random,
     pub(crate) now: Duration,
     /// When its first event came.
     pub(crate) started: Duration,
@@ -135,23 +104,18 @@
     /// a reserve for chance misses.
     pub(crate) in_time: Vec<f64>,
     pub(crate) taken: f64,
-    pub(crate) retry_tokens: f64,
+    pub(crate) retry_budget: RetryBudget,
     /// Attempts sent, work that arrived, and work answered by warm servers.
-    pub(crate) sent: Rate,
-    pub(crate) arrived: Rate,
-    pub(crate) carried: Rate,
+    pub(crate) sent: DecayingRate,
+    pub(crate) arrived: DecayingRate,
+    pub(crate) carried: DecayingRate,
     /// The most that a warm server has carried for this node a second, forgotten slowly, and as of when.
     pub(crate) part: f64,
     pub(crate) part_at: Duration,
     /// What each tenant may still ask for within its share, and when that was reckoned.
-    pub(crate) allowances: Vec<Allowance>,
-    /// How long clients wait for a first try, by class.
-    pub(crate) patience: Vec<Duration>,
-    /// The soonest that a client's repeat has come after its first try, where that shows.
-    pub(crate) backoff: Option<Duration>,
-    /// Where the list must be asked for: when to ask next, and the wait after a failed call.
-    pub(crate) ask_at: Option<Duration>,
-    pub(crate) ask_wait: Duration,
+    pub(crate) allowances: Vec<TokenBucket>,
+    pub(crate) client_retries: ClientRetries,
+    pub(crate) polling: EndpointPolling,
 }
 
 /// How many entries the tables of a [`Balancer`] hold.
@@ -172,9 +136,11 @@
     }
 
     /// Nothing known yet.
-    pub(crate) fn empty(settings: Settings, rng: Pcg32) -> Self {
+    pub(crate) fn empty(settings: Settings, random: Random) -> Self {
+        // Rates are taken over a few of the spans in which a cold server is judged.
+        let memory = 3.0 * settings.rules.overload_window.as_secs_f64().max(1e-3);
         Balancer {
-            rng,
+            random,
             now: Default::default(),
             started: Default::default(),
             endpoints: Default::default(),
@@ -194,17 +160,15 @@
             busy: Default::default(),
             in_time: Default::default(),
             taken: Default::default(),
-            retry_tokens: Default::default(),
-            sent: Default::default(),
-            arrived: Default::default(),
-            carried: Default::default(),
+            retry_budget: RetryBudget::new(),
+            sent: DecayingRate::new(memory),
+            arrived: DecayingRate::new(memory),
+            carried: DecayingRate::new(memory),
             part: Default::default(),
             part_at: Default::default(),
-            allowances: vec![Allowance::default(); settings.tenants.len()],
-            backoff: None,
-            patience: vec![Duration::ZERO; settings.classes.len()],
-            ask_at: Default::default(),
-            ask_wait: Default::default(),
+            allowances: vec![TokenBucket::default(); settings.tenants.len()],
+            client_retries: ClientRetries::new(&settings),
+            polling: EndpointPolling::new(&settings),
             settings,
         }
     }
