Give hedging, idempotency, priorities and running estimates types of their own

Cause: the rule on what may run twice, the wait before a hedged request and a request's priority were methods among all others of the balancer, on its shared fields.

Change: retry/hedging.rs plans an attempt's timeout, retry/idempotency.rs holds rule 2, priority.rs weighs classes and quotas, estimates.rs keeps response times and declared work, pending_request.rs the requests. No behaviour changes.

--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -4,7 +4,10 @@
 mod probing;
 
 use crate::arithmetic::{Random, SMOOTHING as SMOOTH, smooth};
-use crate::state::{Attempt, Request, Server};
+use crate::pending_request::{Attempt, PendingRequest};
+use crate::retry::hedging::AttemptBounds;
+use crate::retry::idempotency;
+use crate::state::Server;
 
 use crate::*;
 use std::time::Duration;
@@ -15,8 +18,6 @@
 /// A server is to be seen so often within the memory of rates, or else fewer are used, but not under a few.
 const SIGHTINGS: f64 = 3.0;
 const FEW: f64 = 6.0;
-/// An attempt is silent after so many times the median answer: for exponential answer times one in sixteen.
-const SILENT: f64 = 4.0;
 /// The least share of requests that servers not crowded at all are sent: a jam clears only when left alone.
 const LEAST_TAKEN: f64 = SMOOTH * SMOOTH;
 /// The part of the cold rule's allowance that is used: the rest is for chance and servers that lag behind;
@@ -40,13 +41,7 @@
 impl Balancer {
     /// A node that has just started and holds no state.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let latency_objective =
-            settings.classes.iter().map(|c| c.latency_objective).min().unwrap_or_default();
         let mut node = Balancer::empty(settings, Random::new(seed));
-        node.usual_times =
-            node.settings.classes.iter().map(|c| c.latency_objective.as_secs_f64() / 2.0).collect();
-        (node.answer_time, node.median) =
-            (latency_objective.as_secs_f64() / 2.0, latency_objective.as_secs_f64() / 4.0);
         (node.sends, node.idle_signs, node.busy) = (1.0, 1.0, 0.5);
         (node.in_time, node.taken) = (vec![0.25; LEVELS], 2.0);
         node.in_time[..2].fill(0.75);
@@ -81,28 +76,11 @@
 
     /// The rules: nothing relaxes these. Rule 3 is kept with its whole grace to spare; by rule 4 a cold
     /// server is sent no more than this node's part of what it can take.
-    fn permitted(&self, endpoint: &Server, request: &Request) -> bool {
+    fn permitted(&self, endpoint: &Server, request: &PendingRequest) -> bool {
         endpoint.entry.state == EndpointState::Ready
-            && (self.warmth(endpoint) >= 1.0 || endpoint.ticket > self.now && request.weight <= HEAVY)
-            && self.repeat_allows(endpoint, request)
-            && !request.attempts.iter().any(|a| a.to.id == endpoint.entry.id)
-    }
-
-    /// Rule 2: what may have run is sent again only as its class allows.
-    fn repeat_allows(&self, endpoint: &Server, request: &Request) -> bool {
-        let Some(first) = request.attempts.iter().find(|a| a.may_have_run()) else { return true };
-        match self.settings.classes[request.class].idempotency {
-            Idempotency::Idempotent => true,
-            Idempotency::NotIdempotent => false,
-            Idempotency::Keyed { scope, window } => {
-                let together = match scope {
-                    Scope::All => true,
-                    Scope::Zone => first.to.zone == endpoint.entry.zone,
-                    Scope::Cell => first.to.cell == endpoint.entry.cell,
-                };
-                together && self.now < first.sent + window
-            }
-        }
+            && (self.warmth(endpoint) >= 1.0 || endpoint.ticket > self.now && request.relative_work <= HEAVY)
+            && idempotency::allows_attempt(request, &endpoint.entry, self.now)
+            && !request.was_sent_to(&endpoint.entry)
     }
 
     /// The share of its capacity that a server has for certain.
@@ -160,9 +138,9 @@
 
     /// Soft gate: at this crowding, at least three in four of what was sent have come back in time; luck
     /// decides where it does not look crowded, since many nodes together may crowd it all the same.
-    fn fits(&self, endpoint: &Server, request: &Request, luck: f64) -> bool {
+    fn fits(&self, endpoint: &Server, request: &PendingRequest, luck: f64) -> bool {
         let level = self.crowd(endpoint).round() as usize;
-        let chance = luck.powf(request.value);
+        let chance = luck.powf(request.priority);
         // A misfortune of blind sends is no reason to refuse what has found an idle server.
         let idle = self.fresh_load(endpoint).is_some_and(|load| load < 0.5);
         let open =
@@ -214,7 +192,7 @@
         let rate = self.sent.per_second(self.now);
         let sightings = SIGHTINGS / if self.probes_tell() { 2.0 } else { 1.0 };
         let in_view = (rate * self.memory()).max(FEW * SIGHTINGS) / sightings;
-        (part.min(in_view).max(2.0 + rate * self.answer_time) as usize).min(LEVELS)
+        (part.min(in_view).max(2.0 + rate * self.response_times.mean) as usize).min(LEVELS)
     }
 
     // ---- Sending ----------------------------------------------------------------------------
@@ -223,17 +201,25 @@
     fn dispatch(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let (luck, draw) = (self.random.unit(), self.random.unit());
         self.draw_tickets();
-        let Some(request) = self.requests.get(&id).filter(|r| !r.done && self.may_go(r)) else { return };
+        let Some(request) = self
+            .requests
+            .get(&id)
+            .filter(|r| !r.closed && self.hedging.allows_attempt(r, self.response_times.median, self.now))
+        else {
+            return;
+        };
         let permitted =
             self.ring().filter_map(|id| self.endpoints.get(&id)).filter(|s| self.permitted(s, request));
         let permitted: Vec<_> = permitted.take(self.enough()).collect();
-        let again = !request.attempts.is_empty();
-        if self.now >= request.until || again && (!self.retry_budget.allows_retry() || permitted.is_empty()) {
+        let again = request.was_attempted();
+        if self.now >= request.deadline
+            || again && (!self.retry_budget.allows_retry() || permitted.is_empty())
+        {
             return self.finish(id, actions);
         }
         if permitted.is_empty() {
             // Nobody is listed, or only cold servers without a ticket: hold it a while.
-            let after = Duration::from_secs_f64(self.answer_time / 8.0).max(self.settings.tick);
+            let after = Duration::from_secs_f64(self.response_times.mean / 8.0).max(self.settings.tick);
             return actions.push(Action::SetTimer { after, token: id.0 });
         }
         // Soft gates give way when they leave nobody. Ejected servers get one request in so many on trial,
@@ -247,7 +233,7 @@
         let fits = healthy.iter().copied().filter(|s| self.fits(s, request, luck));
         let fitting = self.uncrowded(fits.collect());
         let (below, any) = (self.below_cap(&fitting, draw), any_of(&fitting, draw));
-        let ask = below.is_none() && !request.probed && !self.held.contains(&id);
+        let ask = below.is_none() && !request.health_checked && !self.held.contains(&id);
         let ask = ask && self.worth_probing(request);
         let unknown = |s: &&&Server| ask && !s.probing && self.fresh_load(s).is_none();
         let unknown: Vec<_> = healthy.iter().filter(unknown).map(|s| s.entry.id).collect();
@@ -261,58 +247,42 @@
         }
     }
 
-    /// One attempt at a time, or a second one where that is allowed and the first has been silent for long.
-    fn may_go(&self, request: &Request) -> bool {
-        let Some(last) = request.attempts.iter().rfind(|a| a.outcome.is_none()) else { return true };
-        let silent = self.now >= last.sent + self.patience_with(request).mul_f64(0.99);
-        self.settings.limits.parallel_attempts && request.out() < 2 && silent
-    }
-
-    /// How long an attempt may be silent: a multiple of the median answer, which few answers exceed.
-    fn patience_with(&self, request: &Request) -> Duration {
-        Duration::from_secs_f64(SILENT * self.median * request.weight.clamp(1.0, 1e3))
-            .max(2 * self.settings.tick)
-    }
-
-    /// How long a request may still be sent again, once it may have run; less what a timer may come late.
-    fn repeatable_for(&self, request: &Request) -> Duration {
-        let first = request.attempts.iter().find(|a| a.may_have_run()).map_or(self.now, |a| a.sent);
-        match self.settings.classes[request.class].idempotency {
-            Idempotency::Idempotent => Duration::MAX,
-            Idempotency::NotIdempotent => Duration::ZERO,
-            Idempotency::Keyed { window, .. } => {
-                (first + window).saturating_sub(self.now + 2 * self.settings.tick)
-            }
-        }
-    }
-
     /// The only place that sends. Every rule is checked here, whatever led to it.
     fn send(&mut self, id: RequestId, to: EndpointId, actions: &mut Vec<Action>) {
         let now = self.now;
         let (Some(request), Some(endpoint)) = (self.requests.get(&id), self.endpoints.get(&to)) else {
             return;
         };
-        let again = !request.attempts.is_empty();
+        let again = request.was_attempted();
         let room = (request.attempts.len() as u32) < self.settings.limits.max_attempts.max(1);
-        let owed = !request.done && self.may_go(request) && now < request.until;
+        let owed = !request.closed
+            && self.hedging.allows_attempt(request, self.response_times.median, now)
+            && now < request.deadline;
         if !owed || !room || !self.permitted(endpoint, request) {
             return self.finish(id, actions);
         }
-        // Time is kept for one more attempt where there may be one: the server may stay silent.
-        let (left, patience) = (request.until - now, self.patience_with(request));
-        let repeatable = self.repeatable_for(request);
-        let more =
-            repeatable > patience && left > patience * 5 / 4 && self.retry_budget.allows_retry_after(again);
-        let hedged = self.settings.limits.parallel_attempts;
-        // Where only one may be out, the first is given up for the next. Its server mostly goes on working on
-        // it, so that is not done before the next one has just its time.
-        let timeout = if more && !hedged { patience.max(left - patience).min(repeatable) } else { left };
-        if more && hedged {
-            actions.push(Action::SetTimer { after: patience, token: id.0 });
+        let plan = self.hedging.plan(&AttemptBounds {
+            time_left: request.deadline - now,
+            patience: self.hedging.patience(request, self.response_times.median),
+            retryable_for: idempotency::retryable_for(request, now, 2 * self.settings.tick),
+            budget_allows: self.retry_budget.allows_retry_after(again),
+        });
+        let timeout = plan.timeout;
+        if let Some(after) = plan.hedge_after {
+            actions.push(Action::SetTimer { after, token: id.0 });
         }
         let crowd = (self.crowd(endpoint).round() as usize).min(LEVELS - 1);
-        let attempt = Attempt { to: endpoint.entry, sent: now, ends: now + timeout, crowd, outcome: None };
-        self.requests.entry(id).and_modify(|r| (r.probed, _) = (true, r.attempts.push(attempt)));
+        let attempt = Attempt {
+            endpoint: endpoint.entry,
+            started: now,
+            expires: now + timeout,
+            load_level: crowd,
+            outcome: None,
+        };
+        self.requests.entry(id).and_modify(|r| {
+            r.health_checked = true;
+            r.attempts.push(attempt);
+        });
         self.endpoints.entry(to).and_modify(|s| {
             (s.ticket, s.count, s.out) = (Duration::ZERO, s.count + 1, s.out + 1);
             s.load = s.load.map(|(load, at)| (load + 1.0, at));
@@ -335,19 +305,18 @@
         if attempt.outcome.replace(end.outcome).is_some() {
             return;
         }
-        let (crowd, weight) = (attempt.crowd, request.weight);
+        let (crowd, weight) = (attempt.load_level, request.relative_work);
         // What is found out long after its time tells of this node's own pause, not of the server.
-        let usual = self.usual_times[request.class];
-        let past = self.now.as_secs_f64() - attempt.ends.as_secs_f64();
+        let usual = self.response_times.class_mean(request.class);
+        let past = self.now.as_secs_f64() - attempt.expires.as_secs_f64();
         let overdue = (0.0..usual / 4.0).contains(&past) && end.elapsed.as_secs_f64() >= usual;
         // Nothing to spare, or well past the aim where late answers have worth.
-        let (class, left) = (&self.settings.classes[request.class], request.until - attempt.sent);
+        let (class, left) = (&self.settings.classes[request.class], request.deadline - attempt.started);
         let tight =
             4 * end.elapsed > if class.late_weight > 0.0 { 5 } else { 3 } * class.latency_objective.min(left);
-        let (finished, waiting) = (end.finished || request.done, request.out() == 0);
+        let (finished, waiting) = (end.finished || request.closed, request.in_flight() == 0);
         if end.outcome == Outcome::Served {
-            let usual = &mut self.usual_times[request.class];
-            *usual += (end.elapsed.as_secs_f64() - *usual) * SMOOTH / 4.0;
+            self.response_times.record(request.class, weight, end.elapsed);
         }
         self.endpoints.entry(end.endpoint).and_modify(|s| s.out = s.out.saturating_sub(1));
         self.on_report(end.endpoint, end.report, end.outcome == Outcome::Served);
@@ -364,9 +333,6 @@
         let late = overdue && matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled);
         match end.outcome {
             Outcome::Served => {
-                let above = end.elapsed.as_secs_f64() > self.median * weight.max(1.0);
-                self.median *= 1.0 + if above { SMOOTH } else { -SMOOTH } / 4.0;
-                self.answer_time += (end.elapsed.as_secs_f64() - self.answer_time) * SMOOTH / 4.0;
                 if self.endpoints.get(&end.endpoint).is_some_and(|s| self.warmth(s) >= 1.0) {
                     self.carried.add(self.now, weight);
                 }
@@ -436,14 +402,11 @@
 
     /// The only place that gives a final answer: refused if to try again is harmless, else failed.
     fn finish(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(request) = self.requests.get(&id).filter(|r| !r.done && !r.streaming) else { return };
-        if request.out() > 0 && self.now < request.until {
+        let Some(request) = self.requests.get(&id).filter(|r| !r.closed && !r.streaming) else { return };
+        if request.in_flight() > 0 && self.now < request.deadline {
             return; // what is out may still be answered
         }
-        let harmless = match self.settings.classes[request.class].idempotency {
-            Idempotency::Idempotent | Idempotency::Keyed { scope: Scope::All, .. } => true,
-            _ => !request.attempts.iter().any(Attempt::may_have_run),
-        };
+        let harmless = idempotency::client_may_retry(request);
         let retry_after = self.settings.limits.max_retry_after;
         actions.push(if harmless { Action::Shed { id, retry_after } } else { Action::Fail { id } });
         self.close(id, actions);
@@ -453,12 +416,12 @@
     fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         self.held.retain(|held| *held != id);
         let Some(request) = self.requests.get_mut(&id) else { return };
-        if !request.done && self.settings.limits.cancel && !request.streaming {
+        if !request.closed && self.settings.limits.cancel && !request.streaming {
             let out = request.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none());
             actions.extend(out.map(|(i, _)| Action::CancelAttempt { id, attempt: i as u32 }));
         }
-        request.done = true;
-        if request.out() == 0 {
+        request.closed = true;
+        if request.in_flight() == 0 {
             self.requests.remove(&id);
         }
     }
@@ -474,11 +437,21 @@
         let latency_objective = (self.now + terms.latency_objective + stretch)
             .saturating_sub(self.client_retries.time_spent(&new, class));
         let until = if terms.late_weight > 0.0 { deadline } else { deadline.min(latency_objective) };
-        let weight = self.weigh(new.cost_hint);
+        let weight = self.declared_work.record(new.cost_hint);
         self.arrived.add(self.now, weight);
         self.retry_budget.deposit();
-        let (value, probed) = (self.value(class, new.tenant), !self.probes_tell());
-        let request = Request { class, weight, value, until, probed, ..Request::default() };
+        let (value, probed) = (self.priorities.of(class, new.tenant, self.now), !self.probes_tell());
+        let request = PendingRequest {
+            class,
+            idempotency: terms.idempotency,
+            relative_work: weight,
+            priority: value,
+            deadline: until,
+            attempts: Vec::new(),
+            health_checked: probed,
+            streaming: false,
+            closed: false,
+        };
         self.requests.insert(new.id, request);
         // Hopeless even on a free server. Where most are idle it may try: hints are not exact.
         let most = until.saturating_sub(self.now) * if self.busy < 0.5 { 2 } else { 1 };
@@ -489,33 +462,14 @@
         self.dispatch(new.id, actions);
     }
 
-    fn weigh(&mut self, cost: Option<Duration>) -> f64 {
-        let Some(cost) = cost.map(|c| c.as_secs_f64()).filter(|c| *c > 0.0) else { return 1.0 };
-        self.usual_cost += (cost - self.usual_cost) * if self.usual_cost == 0.0 { 1.0 } else { SMOOTH / 8.0 };
-        cost / self.usual_cost
-    }
-
-    /// A request's worth against that of the usual one. What the worst class weighs is spread over all.
-    fn value(&mut self, class: usize, tenant: usize) -> f64 {
-        let rate = |tenant: &Tenant| tenant.quota_per_s / f64::from(self.settings.node_count.max(1));
-        let (rate, now) = (self.settings.tenants.get(tenant).map_or(0.0, rate), self.now);
-        let over = self.allowances.get_mut(tenant).is_some_and(|allowance| !allowance.take(now, rate));
-        let share = if over { self.settings.over_quota_weight } else { 1.0 };
-        let (goal, priority_weight) =
-            (&self.settings.goal, self.settings.classes[class].priority_weight * share);
-        self.usual_worth += (priority_weight - self.usual_worth) * SMOOTH / 8.0;
-        let even = self.usual_worth * goal.worst_class / goal.whole.max(SMOOTH);
-        ((priority_weight + even) / (self.usual_worth + even).max(1e-9)).clamp(0.0, 1e3)
-    }
-
     fn on_request_timer(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
-        if now >= request.until {
+        if now >= request.deadline {
             self.finish(id, actions);
         } else {
             // Whoever was held for probes, or for want of servers, has waited long enough.
-            request.probed = true;
+            request.health_checked = true;
             self.held.retain(|held| *held != id);
             self.dispatch(id, actions);
         }
--- a/crates/balancer/src/policy/probing.rs
+++ b/crates/balancer/src/policy/probing.rs
@@ -1,7 +1,8 @@
 //! Probes: which requests are worth them, whom they go to, and what they tell.
 
 use super::SMOOTH;
-use crate::state::{Request, Server};
+use crate::pending_request::PendingRequest;
+use crate::state::Server;
 use crate::*;
 use std::time::Duration;
 
@@ -20,17 +21,22 @@
 
     /// A queue turns over within about one answer time; then news of it is old.
     pub(super) fn fresh(&self, at: Duration) -> bool {
-        (self.now - at).as_secs_f64() <= self.answer_time / 4.0
+        (self.now - at).as_secs_f64() <= self.response_times.mean / 4.0
     }
 
     /// Whether probes for this request bring more than they cost, both in worths of the usual request. Sent
     /// blind, it meets a busy server as often as there are such, and is late the likelier for it the more of
     /// its time its own work takes. Probes spare it that, or half of it where all of them find busy servers.
-    pub(super) fn worth_probing(&self, request: &Request) -> bool {
+    pub(super) fn worth_probing(&self, request: &PendingRequest) -> bool {
         let busy = self.busy.max(SMOOTH);
-        let work = request.weight * if self.usual_cost > 0.0 { self.usual_cost } else { self.median };
-        let left = (request.until.saturating_sub(self.now)).as_secs_f64().max(1e-6);
-        let stake = request.value * if self.settings.weight_by_work { request.weight } else { 1.0 };
+        let work = request.relative_work
+            * if self.declared_work.mean > 0.0 {
+                self.declared_work.mean
+            } else {
+                self.response_times.median
+            };
+        let left = (request.deadline.saturating_sub(self.now)).as_secs_f64().max(1e-6);
+        let stake = request.priority * if self.settings.weight_by_work { request.relative_work } else { 1.0 };
         // Where both are busy, the less busy one spares it half.
         let found = 1.0 - busy.powi(PROBES as i32) / 2.0;
         stake * busy * (work / left).min(1.0) * found >= f64::from(PROBES) * self.settings.prices.health_check
@@ -56,7 +62,7 @@
         }
         self.held.push(id);
         // A server that answers a probe later than this is no place to send to.
-        let patience = Duration::from_secs_f64(self.answer_time / 16.0).max(4 * self.settings.tick);
+        let patience = Duration::from_secs_f64(self.response_times.mean / 16.0).max(4 * self.settings.tick);
         actions.push(Action::SetTimer { after: patience, token: id.0 });
         true
     }
--- /dev/null
+++ b/crates/balancer/src/retry/idempotency.rs
@@ -0,0 +1,48 @@
+//! Rule 2: a request that may have run is sent again only as its class allows (settings keys `Idempotency`,
+//! `Group` and `Window`). Endpoints drop repeats of an idempotency key within a scope and a time window.
+
+use crate::endpoint::EndpointEntry;
+use crate::pending_request::{Attempt, PendingRequest};
+use crate::settings::{Idempotency, Scope};
+use std::time::Duration;
+
+/// Whether the request may be sent to this endpoint, given the attempts that may have run.
+pub(crate) fn allows_attempt(request: &PendingRequest, endpoint: &EndpointEntry, now: Duration) -> bool {
+    let Some(first) = request.first_that_may_have_run() else { return true };
+    match request.idempotency {
+        Idempotency::Idempotent => true,
+        Idempotency::NotIdempotent => false,
+        Idempotency::Keyed { scope, window } => {
+            shares_keys(scope, &first.endpoint, endpoint) && now < first.started + window
+        }
+    }
+}
+
+fn shares_keys(scope: Scope, one: &EndpointEntry, other: &EndpointEntry) -> bool {
+    match scope {
+        Scope::All => true,
+        Scope::Zone => one.zone == other.zone,
+        Scope::Cell => one.cell == other.cell,
+    }
+}
+
+/// How long the request may still be sent again once the next attempt may have run, with `margin` to spare.
+pub(crate) fn retryable_for(request: &PendingRequest, now: Duration, margin: Duration) -> Duration {
+    match request.idempotency {
+        Idempotency::Idempotent => Duration::MAX,
+        Idempotency::NotIdempotent => Duration::ZERO,
+        Idempotency::Keyed { window, .. } => {
+            let first = request.first_that_may_have_run().map_or(now, |attempt| attempt.started);
+            (first + window).saturating_sub(now + margin)
+        }
+    }
+}
+
+/// Whether the client may safely retry the request, and it may be shed rather than failed. A
+/// retry may reach endpoints outside a narrower scope than all.
+pub(crate) fn client_may_retry(request: &PendingRequest) -> bool {
+    match request.idempotency {
+        Idempotency::Idempotent | Idempotency::Keyed { scope: Scope::All, .. } => true,
+        _ => !request.attempts.iter().any(Attempt::may_have_run),
+    }
+}
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -1,9 +1,13 @@
 //! What a node remembers of servers and requests: types and their plain arithmetic, no decisions.
 
-use crate::arithmetic::{DecayingRate, Random, TokenBucket};
+use crate::arithmetic::{DecayingRate, Random};
 use crate::endpoint_polling::EndpointPolling;
+use crate::estimates::{DeclaredWork, ResponseTimes};
+use crate::pending_request::PendingRequest;
+use crate::priority::Priorities;
 use crate::retry::budget::RetryBudget;
 use crate::retry::client_retry::ClientRetries;
+use crate::retry::hedging::Hedging;
 use crate::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -31,46 +35,6 @@
     pub drawn: Duration,
 }
 
-/// An attempt, and how it ended.
-pub struct Attempt {
-    pub to: EndpointEntry,
-    pub sent: Duration,
-    /// Until when this node waits for it.
-    pub ends: Duration,
-    /// How crowded the server was at the send.
-    pub crowd: usize,
-    pub outcome: Option<Outcome>,
-}
-
-impl Attempt {
-    pub fn may_have_run(&self) -> bool {
-        !self.outcome.is_some_and(Outcome::never_ran)
-    }
-}
-
-/// A request that is owed an answer, or some of whose attempts are still out.
-#[derive(Default)]
-pub struct Request {
-    pub class: usize,
-    /// Its work in units of the usual request's.
-    pub weight: f64,
-    /// Its worth against that of the usual request.
-    pub value: f64,
-    /// Until then an answer is worth waiting for.
-    pub until: Duration,
-    pub attempts: Vec<Attempt>,
-    /// It has had its probes, or must do without.
-    pub probed: bool,
-    pub streaming: bool,
-    pub done: bool,
-}
-
-impl Request {
-    pub fn out(&self) -> usize {
-        self.attempts.iter().filter(|a| a.outcome.is_none()).count()
-    }
-}
-
 /// The decisions of one node. They are made in `policy.rs`; this is what it remembers.
 pub struct Balancer {
     pub(crate) settings: Settings,
@@ -81,20 +45,16 @@
     pub(crate) endpoints: BTreeMap<EndpointId, Server>,
     /// The ready servers, in the order of their ring.
     pub(crate) order: Vec<EndpointId>,
-    pub(crate) requests: BTreeMap<RequestId, Request>,
+    pub(crate) requests: BTreeMap<RequestId, PendingRequest>,
     /// Requests held for probes, in the order of arrival.
     pub(crate) held: Vec<RequestId>,
     pub(crate) probes_out: u32,
-    /// Smoothed time of an answer, and hinted work of a request, in seconds.
-    pub(crate) answer_time: f64,
-    /// Smoothed time of an answer by class, in seconds.
-    pub(crate) usual_times: Vec<f64>,
-    /// The median time of an answer, in seconds.
-    pub(crate) median: f64,
+    pub(crate) response_times: ResponseTimes,
+    pub(crate) declared_work: DeclaredWork,
+    pub(crate) priorities: Priorities,
+    pub(crate) hedging: Hedging,
     /// Smoothed share of failed attempts at all servers.
     pub(crate) failing: f64,
-    pub(crate) usual_cost: f64,
-    pub(crate) usual_worth: f64,
     /// Own sends, and idle signs that reset an estimate, both forgotten slowly; share of reports not idle.
     pub(crate) sends: f64,
     pub(crate) idle_signs: f64,
@@ -112,8 +72,6 @@
     /// The most that a warm server has carried for this node a second, forgotten slowly, and as of when.
     pub(crate) part: f64,
     pub(crate) part_at: Duration,
-    /// What each tenant may still ask for within its share, and when that was reckoned.
-    pub(crate) allowances: Vec<TokenBucket>,
     pub(crate) client_retries: ClientRetries,
     pub(crate) polling: EndpointPolling,
 }
@@ -148,13 +106,7 @@
             requests: Default::default(),
             held: Default::default(),
             probes_out: Default::default(),
-            answer_time: Default::default(),
-            usual_times: Default::default(),
-            median: Default::default(),
             failing: Default::default(),
-            usual_cost: Default::default(),
-            usual_worth: settings.classes.iter().map(|c| c.priority_weight).sum::<f64>()
-                / settings.classes.len().max(1) as f64,
             sends: Default::default(),
             idle_signs: Default::default(),
             busy: Default::default(),
@@ -166,7 +118,10 @@
             carried: DecayingRate::new(memory),
             part: Default::default(),
             part_at: Default::default(),
-            allowances: vec![TokenBucket::default(); settings.tenants.len()],
+            response_times: ResponseTimes::new(&settings),
+            declared_work: DeclaredWork::default(),
+            priorities: Priorities::new(&settings),
+            hedging: Hedging::new(&settings),
             client_retries: ClientRetries::new(&settings),
             polling: EndpointPolling::new(&settings),
             settings,
