Give routing, health and admission types of their own; the balancer only routes events

Cause: policy.rs was one impl on a record of forty fields, so that a reader who asked why a request was shed or an endpoint ejected had to read all of it.

Change: Join-Up-To(m), the ring, subsetting and slow start are in routing/, load reports, health checks, outlier ejection and what an attempt's end tells in health/, shedding in admission.rs. Each owns its state and constants and names its source. balancer.rs routes events; balancer/life_cycle.rs gives the final answers, balancer/dispatch.rs chooses the endpoint and starts attempts. No behaviour changes.

--- a/crates/balancer/src/arithmetic.rs
+++ b/crates/balancer/src/arithmetic.rs
@@ -5,37 +5,37 @@
 use std::time::Duration;
 
 /// The weight of one observation in a moving average: the last handful of observations decide.
-pub(crate) const SMOOTHING: f64 = 1.0 / 8.0;
+pub const SMOOTHING: f64 = 1.0 / 8.0;
 
 /// Moves an exponentially weighted average towards an observation of this weight.
-pub(crate) fn smooth(average: &mut f64, observed: f64, weight: f64) {
+pub fn smooth(average: &mut f64, observed: f64, weight: f64) {
     *average += (observed - *average) * weight;
 }
 
 /// The amount per second of something, forgotten exponentially over a window in seconds.
-pub(crate) struct DecayingRate {
+pub struct DecayingRate {
     window: f64,
     sum: f64,
     updated: Duration,
 }
 
 impl DecayingRate {
-    pub(crate) fn new(window: f64) -> Self {
+    pub fn new(window: f64) -> Self {
         DecayingRate { window, sum: 0.0, updated: Duration::ZERO }
     }
 
-    pub(crate) fn add(&mut self, now: Duration, amount: f64) {
+    pub fn add(&mut self, now: Duration, amount: f64) {
         self.sum = self.per_second(now) * self.window + amount;
         self.updated = now;
     }
 
-    pub(crate) fn per_second(&self, now: Duration) -> f64 {
+    pub fn per_second(&self, now: Duration) -> f64 {
         let age = (now - self.updated).as_secs_f64();
         self.sum * (-age / self.window).exp() / self.window
     }
 
     /// The rate of what began only at `start`, when the window has seen but a part of its time.
-    pub(crate) fn per_second_since(&self, start: Duration, now: Duration) -> f64 {
+    pub fn per_second_since(&self, start: Duration, now: Duration) -> f64 {
         let age = (now - start).as_secs_f64() / self.window;
         self.per_second(now) / (1.0 - (-age).exp()).max(SMOOTHING)
     }
@@ -43,14 +43,14 @@
 
 /// A token bucket that is refilled at a rate and holds at most the tokens of one second.
 #[derive(Clone, Copy, Default)]
-pub(crate) struct TokenBucket {
+pub struct TokenBucket {
     tokens: f64,
     updated: Duration,
 }
 
 impl TokenBucket {
     /// Takes a token if there is one.
-    pub(crate) fn take(&mut self, now: Duration, tokens_per_second: f64) -> bool {
+    pub fn take(&mut self, now: Duration, tokens_per_second: f64) -> bool {
         let refill = tokens_per_second * (now - self.updated).as_secs_f64();
         self.tokens = (self.tokens + refill).min(tokens_per_second.max(1.0));
         self.updated = now;
@@ -63,15 +63,15 @@
 }
 
 /// The seeded source of all random draws.
-pub(crate) struct Random(Pcg32);
+pub struct Random(Pcg32);
 
 impl Random {
-    pub(crate) fn new(seed: u64) -> Self {
+    pub fn new(seed: u64) -> Self {
         Random(Pcg32::seed_from_u64(seed))
     }
 
     /// A number from 0 up to, but not including, 1.
-    pub(crate) fn unit(&mut self) -> f64 {
+    pub fn unit(&mut self) -> f64 {
         f64::from(self.0.next_u32()) / 2f64.powi(32)
     }
 }
--- a/crates/balancer/src/endpoint_polling.rs
+++ b/crates/balancer/src/endpoint_polling.rs
@@ -1,7 +1,7 @@
 //! When the endpoint list is polled, where the site does not push it (settings key `RegistryMode: ask`).
 
+use crate::Settings;
 use crate::arithmetic::Random;
-use crate::settings::Settings;
 use std::time::Duration;
 
 /// The first wait after a failed call. A node is taken to know of a change 6 s after the watch that missed it
@@ -16,7 +16,7 @@
 const FIRST_CALL_SPREAD: f64 = 0.25;
 
 /// The schedule of calls to discovery.
-pub(crate) struct EndpointPolling {
+pub struct EndpointPolling {
     interval: Duration,
     /// When to call next; `None` while subscribed.
     next_call: Option<Duration>,
@@ -24,18 +24,18 @@
 }
 
 impl EndpointPolling {
-    pub(crate) fn new(settings: &Settings) -> Self {
+    pub fn new(settings: &Settings) -> Self {
         let interval = settings.rules.poll_interval;
         EndpointPolling { interval, next_call: None, backoff: Duration::ZERO }
     }
 
     /// Schedules the first call of a node that has just started.
-    pub(crate) fn start(&mut self, now: Duration, random: &mut Random) {
+    pub fn start(&mut self, now: Duration, random: &mut Random) {
         self.next_call = Some(now + self.interval.mul_f64(random.unit() * FIRST_CALL_SPREAD));
     }
 
     /// Whether to call now. The call counts as unanswered if there is no list in time.
-    pub(crate) fn call_is_due(&mut self, now: Duration) -> bool {
+    pub fn call_is_due(&mut self, now: Duration) -> bool {
         let due = self.next_call.is_some_and(|at| now >= at);
         if due {
             self.next_call = Some(now + CALL_TIMEOUT.min(self.interval / 2));
@@ -44,12 +44,12 @@
     }
 
     /// The time between two looks at the schedule, short against every wait in it.
-    pub(crate) fn check_interval(&self) -> Duration {
+    pub fn check_interval(&self) -> Duration {
         (self.interval / 64).min(FIRST_BACKOFF / 2)
     }
 
     /// A call failed or the subscription broke: calls again after an exponential backoff with jitter.
-    pub(crate) fn on_failure(&mut self, now: Duration, random: &mut Random) {
+    pub fn on_failure(&mut self, now: Duration, random: &mut Random) {
         let shortest = FIRST_BACKOFF.min(self.interval / 16);
         let longest = MAX_BACKOFF.min(self.interval / 2);
         self.backoff = (2 * self.backoff).clamp(shortest, longest);
@@ -58,7 +58,7 @@
     }
 
     /// Discovery answered.
-    pub(crate) fn on_list(&mut self) {
+    pub fn on_list(&mut self) {
         self.next_call = None;
         self.backoff = Duration::ZERO;
     }
--- /dev/null
+++ b/crates/balancer/src/health/mod.rs
@@ -0,0 +1,7 @@
+//! What a node knows of its endpoints' health and load.
+
+pub mod active_check;
+pub mod endpoint_health;
+pub mod load_report;
+pub mod observation;
+pub mod outlier;
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -7,20 +7,24 @@
 #![warn(missing_docs)]
 
 mod action;
+mod admission;
 mod arithmetic;
+mod balancer;
 mod endpoint;
 mod endpoint_polling;
+mod endpoint_set;
 mod estimates;
 mod event;
+mod health;
 mod pending_request;
-mod policy;
 mod priority;
 mod request;
 mod retry;
+mod routing;
 pub mod settings;
-mod state;
 
 pub use action::Action;
+pub use balancer::{Balancer, TableSizes};
 pub use endpoint::{EndpointEntry, EndpointId, EndpointState, ListKind, LoadReport};
 pub use event::{Event, HealthCheckEnd};
 pub use request::{AttemptEnd, NewRequest, Outcome, RequestId};
@@ -28,7 +32,6 @@
     Goal, Idempotency, Limits, LoadReportSource, Prices, RequestClass, Rules, Scope, Settings, SettingsError,
     Tenant,
 };
-pub use state::{Balancer, TableSizes};
 
 /// The README's example, compiled as a test.
 #[cfg(doctest)]
--- a/crates/balancer/src/priority.rs
+++ b/crates/balancer/src/priority.rs
@@ -2,7 +2,7 @@
 //! over its quota (settings keys `Credit`, `Projects`, `OverShareWorth`).
 
 use crate::arithmetic::{SMOOTHING, TokenBucket, smooth};
-use crate::settings::{Settings, Tenant};
+use crate::{Settings, Tenant};
 use std::time::Duration;
 
 /// A priority is at most so many times that of the mean request.
@@ -15,7 +15,7 @@
 }
 
 /// The priorities of requests, relative to the mean request.
-pub(crate) struct Priorities {
+pub struct Priorities {
     class_weights: Vec<f64>,
     quotas: Vec<Quota>,
     over_quota_weight: f64,
@@ -26,7 +26,7 @@
 }
 
 impl Priorities {
-    pub(crate) fn new(settings: &Settings) -> Self {
+    pub fn new(settings: &Settings) -> Self {
         let nodes = f64::from(settings.node_count.max(1));
         let quota = |tenant: &Tenant| Quota {
             requests_per_second: tenant.quota_per_s / nodes,
@@ -45,7 +45,7 @@
 
     /// Takes in a new request and returns its priority. The goal's weight of the worst-served class is spread
     /// evenly over all classes, since any may become the worst.
-    pub(crate) fn of(&mut self, class: usize, tenant: usize, now: Duration) -> f64 {
+    pub fn of(&mut self, class: usize, tenant: usize, now: Duration) -> f64 {
         let class_weight = self.class_weights[class];
         let weight =
             class_weight * if self.is_over_quota(tenant, now) { self.over_quota_weight } else { 1.0 };
--- a/crates/balancer/src/retry/budget.rs
+++ b/crates/balancer/src/retry/budget.rs
@@ -9,33 +9,33 @@
 const MAX_TOKENS: f64 = 2.0 / TOKENS_PER_REQUEST;
 
 /// The tokens left for retries and hedged requests.
-pub(crate) struct RetryBudget {
+pub struct RetryBudget {
     tokens: f64,
 }
 
 impl RetryBudget {
-    pub(crate) fn new() -> Self {
+    pub fn new() -> Self {
         RetryBudget { tokens: INITIAL_TOKENS }
     }
 
     /// A request has arrived.
-    pub(crate) fn deposit(&mut self) {
+    pub fn deposit(&mut self) {
         self.tokens = (self.tokens + TOKENS_PER_REQUEST).min(MAX_TOKENS);
     }
 
     /// Whether a further attempt may start.
-    pub(crate) fn allows_retry(&self) -> bool {
+    pub fn allows_retry(&self) -> bool {
         self.tokens >= 1.0
     }
 
     /// Whether one more attempt could follow the one that is about to start.
-    pub(crate) fn allows_retry_after(&self, attempt_is_retry: bool) -> bool {
+    pub fn allows_retry_after(&self, attempt_is_retry: bool) -> bool {
         let needed = if attempt_is_retry { 2.0 } else { 1.0 };
         self.tokens >= needed
     }
 
     /// A further attempt has started.
-    pub(crate) fn withdraw(&mut self) {
+    pub fn withdraw(&mut self) {
         self.tokens -= 1.0;
     }
 }
--- a/crates/balancer/src/retry/client_retry.rs
+++ b/crates/balancer/src/retry/client_retry.rs
@@ -5,15 +5,14 @@
 //! tells only once the rest is shorter still; until then a marked retry has waited at least as long as the
 //! soonest retry that did tell. Work for a client past its latency objective only feeds an overload.
 
-use crate::request::NewRequest;
-use crate::settings::Settings;
+use crate::{NewRequest, Settings};
 use std::time::Duration;
 
 /// Waits that differ by less than this part count as equal: clients round them.
 const TOLERANCE: u32 = 64;
 
 /// What the requests of clients have shown about their retries.
-pub(crate) struct ClientRetries {
+pub struct ClientRetries {
     deadlines: Vec<Duration>,
     /// How long clients wait for their first try, by class.
     first_try: Vec<Duration>,
@@ -22,7 +21,7 @@
 }
 
 impl ClientRetries {
-    pub(crate) fn new(settings: &Settings) -> Self {
+    pub fn new(settings: &Settings) -> Self {
         ClientRetries {
             deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
             first_try: vec![Duration::ZERO; settings.classes.len()],
@@ -31,7 +30,7 @@
     }
 
     /// Takes in a new request and estimates how long its client has waited already.
-    pub(crate) fn time_spent(&mut self, request: &NewRequest, class: usize) -> Duration {
+    pub fn time_spent(&mut self, request: &NewRequest, class: usize) -> Duration {
         let deadline = self.deadlines[class];
         if !request.client_retry {
             self.first_try[class] = request.remaining;
--- a/crates/balancer/src/retry/hedging.rs
+++ b/crates/balancer/src/retry/hedging.rs
@@ -1,9 +1,9 @@
-//! Hedged requests: a second attempt once the first has been silent for unusually long (Dean and Barroso, "The
-//! Tail at Scale"). Where the site allows one attempt at a time (settings key `ParallelTries`), the first is
-//! given up for the next instead.
+//! Hedged requests: a second attempt once the first has been silent for unusually long (Dean and Barroso,
+//! "The Tail at Scale"). Where the site allows one attempt at a time (settings key `ParallelTries`), the
+//! first is given up for the next instead.
 
+use crate::Settings;
 use crate::pending_request::PendingRequest;
-use crate::settings::Settings;
 use std::time::Duration;
 
 /// An attempt is silent after this multiple of the median response time: for exponential response times one
@@ -16,43 +16,31 @@
 /// Work beyond this multiple of the mean earns no more patience.
 const MAX_RELATIVE_WORK: f64 = 1e3;
 
-/// What bounds the next attempt of a request.
-pub(crate) struct AttemptBounds {
-    /// The time until the request's deadline.
-    pub(crate) time_left: Duration,
-    /// How long the attempt may be silent.
-    pub(crate) patience: Duration,
-    /// How long the request may be sent again once this attempt may have run.
-    pub(crate) retryable_for: Duration,
-    /// Whether the budget has room for an attempt after this one.
-    pub(crate) budget_allows: bool,
-}
-
 /// How long to wait for an attempt, and when to start another one beside it.
-pub(crate) struct AttemptPlan {
-    pub(crate) timeout: Duration,
-    pub(crate) hedge_after: Option<Duration>,
+pub struct AttemptPlan {
+    pub timeout: Duration,
+    pub hedge_after: Option<Duration>,
 }
 
 /// When attempts of a request may follow each other.
-pub(crate) struct Hedging {
+pub struct Hedging {
     parallel_attempts: bool,
     tick: Duration,
 }
 
 impl Hedging {
-    pub(crate) fn new(settings: &Settings) -> Self {
+    pub fn new(settings: &Settings) -> Self {
         Hedging { parallel_attempts: settings.limits.parallel_attempts, tick: settings.tick }
     }
 
     /// How long an attempt may be silent, by the median response time in seconds.
-    pub(crate) fn patience(&self, request: &PendingRequest, median: f64) -> Duration {
+    fn patience(&self, request: &PendingRequest, median: f64) -> Duration {
         let work = request.relative_work.clamp(1.0, MAX_RELATIVE_WORK);
         Duration::from_secs_f64(SILENT_AFTER_MEDIANS * median * work).max(2 * self.tick)
     }
 
     /// Whether an attempt may start now, beside those in flight.
-    pub(crate) fn allows_attempt(&self, request: &PendingRequest, median: f64, now: Duration) -> bool {
+    pub fn allows_attempt(&self, request: &PendingRequest, median: f64, now: Duration) -> bool {
         let Some(last) = request.last_in_flight() else { return true };
         let silent_at = last.started + self.patience(request, median).mul_f64(TIMER_TOLERANCE);
         self.parallel_attempts && request.in_flight() < MAX_PARALLEL && now >= silent_at
@@ -60,8 +48,17 @@
 
     /// Keeps time for one more attempt where there may be one. Where only one may be in flight, the endpoint
     /// mostly goes on working on an attempt given up, so that is put off until the next has just its time.
-    pub(crate) fn plan(&self, bounds: &AttemptBounds) -> AttemptPlan {
-        let AttemptBounds { time_left, patience, retryable_for, budget_allows } = *bounds;
+    /// `retryable_for` is how long the request may be sent again once this attempt may have run.
+    pub fn plan(
+        &self,
+        request: &PendingRequest,
+        median: f64,
+        retryable_for: Duration,
+        budget_allows: bool,
+        now: Duration,
+    ) -> AttemptPlan {
+        let time_left = request.deadline - now;
+        let patience = self.patience(request, median);
         let room = retryable_for > patience && time_left > patience * 5 / 4;
         if !(room && budget_allows) {
             return AttemptPlan { timeout: time_left, hedge_after: None };
--- a/crates/balancer/src/retry/idempotency.rs
+++ b/crates/balancer/src/retry/idempotency.rs
@@ -1,13 +1,12 @@
 //! Rule 2: a request that may have run is sent again only as its class allows (settings keys `Idempotency`,
 //! `Group` and `Window`). Endpoints drop repeats of an idempotency key within a scope and a time window.
 
-use crate::endpoint::EndpointEntry;
 use crate::pending_request::{Attempt, PendingRequest};
-use crate::settings::{Idempotency, Scope};
+use crate::{EndpointEntry, Idempotency, Scope};
 use std::time::Duration;
 
 /// Whether the request may be sent to this endpoint, given the attempts that may have run.
-pub(crate) fn allows_attempt(request: &PendingRequest, endpoint: &EndpointEntry, now: Duration) -> bool {
+pub fn allows_attempt(request: &PendingRequest, endpoint: &EndpointEntry, now: Duration) -> bool {
     let Some(first) = request.first_that_may_have_run() else { return true };
     match request.idempotency {
         Idempotency::Idempotent => true,
@@ -27,7 +26,7 @@
 }
 
 /// How long the request may still be sent again once the next attempt may have run, with `margin` to spare.
-pub(crate) fn retryable_for(request: &PendingRequest, now: Duration, margin: Duration) -> Duration {
+pub fn retryable_for(request: &PendingRequest, now: Duration, margin: Duration) -> Duration {
     match request.idempotency {
         Idempotency::Idempotent => Duration::MAX,
         Idempotency::NotIdempotent => Duration::ZERO,
@@ -40,7 +39,7 @@
 
 /// Whether the client may safely retry the request, and it may be shed rather than failed. A
 /// retry may reach endpoints outside a narrower scope than all.
-pub(crate) fn client_may_retry(request: &PendingRequest) -> bool {
+pub fn client_may_retry(request: &PendingRequest) -> bool {
     match request.idempotency {
         Idempotency::Idempotent | Idempotency::Keyed { scope: Scope::All, .. } => true,
         _ => !request.attempts.iter().any(Attempt::may_have_run),
--- /dev/null
+++ b/crates/balancer/src/routing/mod.rs
@@ -0,0 +1,6 @@
+//! Which endpoint a request goes to: Join-Up-To(m) over a subset of the endpoints, sparing those that start.
+
+pub mod join_up_to;
+pub mod ring;
+pub mod slow_start;
+pub mod subset;
--- /dev/null
+++ b/crates/balancer/src/routing/slow_start.rs
@@ -0,0 +1,138 @@
+//! Slow start, rule 4: an endpoint that has just started is sent no more than its present capacity allows
+//! (settings keys `ColdFrom`, `RampTime`, `OverloadFactor` and `TipAfter`).
+//!
+//! While it starts, an endpoint is sent one request for each permit. The responses of a warm endpoint to all
+//! nodes add up to less than its capacity, so each node draws permits at a multiple of the rate at which a
+//! warm endpoint serves it. Permits come at random and expire soon: what hundreds of quiet nodes could save
+//! up would otherwise be spent in one burst.
+
+use crate::arithmetic::Random;
+use crate::endpoint_set::{Endpoint, EndpointSet};
+use crate::estimates::EndpointShare;
+use crate::{EndpointId, Settings};
+use std::time::Duration;
+
+/// The part of the rule's overload factor that is used: the rest is for chance and endpoints that lag behind.
+const USED_OVERLOAD: f64 = 0.6;
+/// And no more than this multiple of the capacity an endpoint has for certain, or it would be overloaded for
+/// nothing.
+const MAX_OVERLOAD: f64 = 1.6;
+/// Requests of more than this multiple of the mean work go to warm endpoints only.
+const MAX_RELATIVE_WORK: f64 = 2.0;
+
+/// An endpoint's permit for one request while it starts.
+#[derive(Clone, Copy, Default)]
+pub struct Permit {
+    /// When it expires; in the past if there is none.
+    expires: Duration,
+    drawn_at: Duration,
+}
+
+impl Permit {
+    /// No permit; the first draw counts the time from `now`.
+    pub fn none(now: Duration) -> Self {
+        Permit { expires: Duration::ZERO, drawn_at: now }
+    }
+
+    /// The permit was used for a request.
+    pub fn consume(&mut self) {
+        self.expires = Duration::ZERO;
+    }
+}
+
+/// Issues the permits of starting endpoints.
+pub struct SlowStart {
+    initial_capacity: f64,
+    window: f64,
+    /// The load on a starting endpoint, as a multiple of its present capacity.
+    load_factor: f64,
+    permit_lifetime: Duration,
+    /// What a warm endpoint serves for this node.
+    share: EndpointShare,
+}
+
+impl SlowStart {
+    pub fn new(settings: &Settings) -> Self {
+        let rules = &settings.rules;
+        SlowStart {
+            initial_capacity: rules.initial_capacity,
+            window: rules.slow_start_window.as_secs_f64(),
+            load_factor: (rules.overload_factor * USED_OVERLOAD).min(MAX_OVERLOAD),
+            permit_lifetime: rules.overload_window / 2,
+            share: EndpointShare::new(settings),
+        }
+    }
+
+    /// This node has started.
+    pub fn start(&mut self, now: Duration) {
+        self.share.start(now);
+    }
+
+    /// Work has arrived.
+    pub fn record_arrival(&mut self, work: f64, now: Duration) {
+        self.share.record_arrival(work, now);
+    }
+
+    /// An endpoint has served work.
+    pub fn record_served(&mut self, endpoint: &Endpoint, work: f64, now: Duration) {
+        if self.is_warm(endpoint, now) {
+            self.share.record_served(work, now);
+        }
+    }
+
+    /// Whether the endpoint may be sent a request of this relative work.
+    pub fn allows(&self, endpoint: &Endpoint, relative_work: f64, now: Duration) -> bool {
+        let has_permit = endpoint.permit.expires > now && relative_work <= MAX_RELATIVE_WORK;
+        self.is_warm(endpoint, now) || has_permit
+    }
+
+    fn is_warm(&self, endpoint: &Endpoint, now: Duration) -> bool {
+        self.capacity(endpoint, now) >= 1.0
+    }
+
+    /// The fraction of its capacity that the endpoint has for certain.
+    fn capacity(&self, endpoint: &Endpoint, now: Duration) -> f64 {
+        let Some(started) = endpoint.entry.started else { return 1.0 };
+        let age = now.saturating_sub(started).as_secs_f64();
+        let grown = age / self.window.max(1e-6);
+        (self.initial_capacity + (1.0 - self.initial_capacity) * grown).min(1.0)
+    }
+
+    /// Draws permits for the starting endpoints in and next to the subset.
+    pub fn draw_permits(
+        &mut self,
+        endpoints: &mut EndpointSet,
+        subset_size: usize,
+        now: Duration,
+        random: &mut Random,
+    ) {
+        let nearby = endpoints.ring().take(2 * subset_size);
+        let starting = nearby.filter(|endpoint| !self.is_warm(endpoint, now));
+        let starting: Vec<EndpointId> = starting.map(|endpoint| endpoint.entry.id).collect();
+        self.update_share(endpoints, subset_size, now);
+        for id in starting {
+            let draw = random.unit();
+            let Some(endpoint) = endpoints.get_mut(id) else { continue };
+            let rate = self.load_factor * self.capacity(endpoint, now) * self.share.peak();
+            self.draw_permit(&mut endpoint.permit, rate, draw, now);
+        }
+    }
+
+    /// Draws one permit with the probability that a Poisson process of this rate has had an event since.
+    fn draw_permit(&self, permit: &mut Permit, rate: f64, draw: f64, now: Duration) {
+        let since = now.saturating_sub(permit.drawn_at).min(self.permit_lifetime).as_secs_f64();
+        let won = draw < 1.0 - (-rate * since).exp();
+        if won && permit.expires <= now {
+            permit.expires = now + self.permit_lifetime;
+        }
+        permit.drawn_at = now;
+    }
+
+    /// Updates the estimate of what a warm endpoint serves for this node.
+    fn update_share(&mut self, endpoints: &EndpointSet, subset_size: usize, now: Duration) {
+        let subset = endpoints.ring().take(subset_size);
+        let warm = subset.filter(|endpoint| self.is_warm(endpoint, now)).count();
+        let sharing = subset_size.min(endpoints.ready_count());
+        self.share.update(warm, sharing, now);
+    }
+}
--- a/crates/balancer/src/settings/mod.rs
+++ b/crates/balancer/src/settings/mod.rs
@@ -173,6 +173,19 @@
     pub worst_tenant: f64,
 }
 
+impl Settings {
+    /// Whether endpoints report their load to health checks, and only to them.
+    pub(crate) fn loads_are_polled(&self) -> bool {
+        self.load_reports == LoadReportSource::HealthChecks && self.limits.health_checks
+    }
+
+    /// The window in seconds over which rates are taken: a few of those in which a starting endpoint is
+    /// judged.
+    pub(crate) fn rate_window(&self) -> f64 {
+        3.0 * self.rules.overload_window.as_secs_f64().max(1e-3)
+    }
+}
+
 impl Default for Settings {
     /// One node, one idempotent class, no tenants, no load reports, no health checks.
     fn default() -> Self {
