--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -94,8 +94,7 @@
 }
 
 fn parse_settings(json: &str) -> Result<Site, ConfigError> {
-    settings::parse(json.as_bytes())
-        .map_err(|cause| ConfigError::InvalidSettings { cause: cause.to_string() })
+    Ok(settings::parse(json.as_bytes())?)
 }
 
 /// Names are mapped to positions: two positions would mean the same class, tenant or zone if a name was repeated.
--- a/crates/node/src/config/error.rs
+++ b/crates/node/src/config/error.rs
@@ -1,5 +1,6 @@
 //! Why a configuration cannot be used.
 
+use ottertiller_balancer::SettingsError;
 use std::io;
 use std::num::ParseIntError;
 use std::path::PathBuf;
@@ -30,11 +31,8 @@
     #[error("bad configuration: seed: {0}")]
     InvalidSeed(#[from] ParseIntError),
     /// `settings` does not suit the balancer.
-    #[error("bad configuration: {cause}")]
-    InvalidSettings {
-        /// What the balancer's reader says.
-        cause: String,
-    },
+    #[error("bad configuration: {0}")]
+    InvalidSettings(#[from] SettingsError),
     /// The names under a key of `settings` are empty or repeated, so that one name could mean two things.
     #[error("bad configuration: {key}: a name is empty or stands twice in {names:?}")]
     InvalidNames {
--- a/crates/simulator-adapter/src/error.rs
+++ b/crates/simulator-adapter/src/error.rs
@@ -1,7 +1,7 @@
 //! What ends the adapter: input and output that fail, and input that breaks the protocol.
 
 use crate::wire::BATCH_HEADER_SIZE;
-use std::error::Error;
+use ottertiller_balancer::SettingsError;
 use std::io;
 use thiserror::Error;
 
@@ -56,5 +56,5 @@
     #[error("{field}: points to {count} x {size} bytes at {start} of a tail of {tail}")]
     OutsideTail { field: &'static str, start: usize, count: usize, size: usize, tail: usize },
     #[error("{0}")]
-    Settings(#[source] Box<dyn Error + Send + Sync>),
+    Settings(#[from] SettingsError),
 }
--- a/crates/simulator-adapter/src/instance.rs
+++ b/crates/simulator-adapter/src/instance.rs
@@ -21,7 +21,7 @@
 
 impl Instance {
     pub fn start(settings: &[u8], seed: u64) -> Result<Self, RecordError> {
-        let site = settings::parse(settings).map_err(|cause| RecordError::Settings(cause.into()))?;
+        let site = settings::parse(settings)?;
         Ok(Instance { balancer: Balancer::new(site.settings, seed), columns: site.columns })
     }
 
