Split the test of 200,000 requests into a round and a change of the list

It was one function of over 70 lines. What is sent, in which order, and what is asserted are as before.

--- a/crates/node/src/dispatcher_tests.rs
+++ b/crates/node/src/dispatcher_tests.rs
@@ -322,57 +322,22 @@
 #[test]
 fn two_hundred_thousand_requests_of_all_endings_leave_nothing() {
     const ROUNDS: usize = 4_000;
-    const REQUESTS_A_ROUND: usize = 50;
     const ROUND: Duration = Duration::from_millis(20);
     in_virtual_time(async {
         let mut host = Host::start(&config("pull", 0.5));
         let mut listed = Vec::new();
         for id in 1..=6 {
-            listed.push(
-                scripted_endpoint::start(
-                    id,
-                    if id % 3 == 0 { "inflight=9,queue=5" } else { "inflight=0,queue=0" },
-                )
-                .await,
-            );
+            let load = if id % 3 == 0 { "inflight=9,queue=5" } else { "inflight=0,queue=0" };
+            listed.push(scripted_endpoint::start(id, load).await);
         }
         host.run(async |peers| peers.list(ListKind::Snapshot, listed.clone()).await).await;
         let before =
             (host.usage(), host.dispatcher.balancer.table_sizes(), host.dispatcher.upstream.pool.usage());
-        let endings: Rc<RefCell<BTreeMap<&str, usize>>> = Rc::default();
+        let endings: Endings = Rc::default();
         host.run(async |peers| {
             for round in 0..ROUNDS {
-                // Now and then the list is empty, or names some of the endpoints.
-                match round % 400 {
-                    100 => peers.list(ListKind::Snapshot, vec![]).await,
-                    130 => peers.list(ListKind::Snapshot, listed.clone()).await,
-                    200 => {
-                        let mut draining = listed[0].clone();
-                        draining.entry.state = EndpointState::Draining;
-                        peers.list(ListKind::Delta, vec![draining]).await;
-                    }
-                    250 => peers.list(ListKind::Delta, listed[..1].to_vec()).await,
-                    _ => {}
-                }
-                let mut disconnecting = Vec::new();
-                for number in 0..REQUESTS_A_ROUND {
-                    // Mostly ordinary ones, or every endpoint would be ejected throughout.
-                    let kind =
-                        if number % 5 == 0 { (round + number / 5) % ENDINGS.len() } else { number % 3 };
-                    let (class, script, disconnects) = ENDINGS[kind];
-                    let short = number % 7 == 6;
-                    let remaining = if short { Duration::from_millis(number as u64) } else { DEADLINE };
-                    let (id, answer) = peers.request(class, script, remaining).await;
-                    match disconnects {
-                        Some(after) => disconnecting.push((id, after, answer)),
-                        None => drop(spawn_local(count(answer, endings.clone()))),
-                    }
-                }
-                for (id, after, answer) in disconnecting {
-                    sleep(after).await;
-                    drop(answer);
-                    peers.disconnect(id).await;
-                }
+                peers.vary_list(round, &listed).await;
+                peers.request_round(round, &endings).await;
                 if round % 40 == 20 {
                     peers.messages.send(Message::Shutdown).await.expect("the node runs");
                 }
@@ -392,7 +357,50 @@
     });
 }
 
-async fn count(answer: oneshot::Receiver<FinalAnswer>, endings: Rc<RefCell<BTreeMap<&'static str, usize>>>) {
+/// How often each ending was seen.
+type Endings = Rc<RefCell<BTreeMap<&'static str, usize>>>;
+
+impl Peers {
+    /// Now and then the list is empty, or names some of the endpoints.
+    async fn vary_list(&self, round: usize, listed: &[ListedEndpoint]) {
+        match round % 400 {
+            100 => self.list(ListKind::Snapshot, vec![]).await,
+            130 => self.list(ListKind::Snapshot, listed.to_vec()).await,
+            200 => {
+                let mut draining = listed[0].clone();
+                draining.entry.state = EndpointState::Draining;
+                self.list(ListKind::Delta, vec![draining]).await;
+            }
+            250 => self.list(ListKind::Delta, listed[..1].to_vec()).await,
+            _ => {}
+        }
+    }
+
+    /// Sends a round of requests, and disconnects the clients of some.
+    async fn request_round(&self, round: usize, endings: &Endings) {
+        const REQUESTS: usize = 50;
+        let mut disconnecting = Vec::new();
+        for number in 0..REQUESTS {
+            // Mostly ordinary ones, or every endpoint would be ejected throughout.
+            let kind = if number % 5 == 0 { (round + number / 5) % ENDINGS.len() } else { number % 3 };
+            let (class, script, disconnects) = ENDINGS[kind];
+            let short = number % 7 == 6;
+            let remaining = if short { Duration::from_millis(number as u64) } else { DEADLINE };
+            let (id, answer) = self.request(class, script, remaining).await;
+            match disconnects {
+                Some(after) => disconnecting.push((id, after, answer)),
+                None => drop(spawn_local(count(answer, endings.clone()))),
+            }
+        }
+        for (id, after, answer) in disconnecting {
+            sleep(after).await;
+            drop(answer);
+            self.disconnect(id).await;
+        }
+    }
+}
+
+async fn count(answer: oneshot::Receiver<FinalAnswer>, endings: Endings) {
     let ending = match answer.await {
         Ok(FinalAnswer::Served(_)) => "served",
         Ok(FinalAnswer::Shed(_)) => "refused",
