Name the key in the error of an address that cannot be parsed

The configuration's listen and discovery addresses were parsed with the file, whose error names a line and a column. They are parsed after it, and the error names the key, like those of the seed, the names and the sockets. A test pins the texts. It is still one line that begins with "bad configuration".

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -55,14 +55,16 @@
     /// Parses and checks the text of a configuration file.
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
         let file: File = serde_json::from_str(text)?;
+        let listen = parse_address("listen", &file.listen)?;
+        let discovery = parse_address("discovery", &file.discovery)?;
         let seed = parse_seed(&file.seed)?;
         let site = parse_settings(file.settings.get())?;
         check_names(&site)?;
         let capacity = capacity(&file.limits)?;
         Ok(Config {
             name: file.name,
-            listen: file.listen,
-            discovery: file.discovery,
+            listen,
+            discovery,
             seed,
             limits: file.limits,
             client_connections: capacity.client_connections,
@@ -86,6 +88,10 @@
     }
 }
 
+fn parse_address(key: &'static str, text: &str) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|cause| ConfigError::InvalidAddress { key, cause })
+}
+
 fn parse_seed(text: &str) -> Result<u64, ConfigError> {
     if text.is_empty() {
         return Ok(0);
--- a/crates/node/src/config/error.rs
+++ b/crates/node/src/config/error.rs
@@ -1,6 +1,7 @@
 //! Why a configuration cannot be used.
 
 use std::io;
+use std::net::AddrParseError;
 use std::num::ParseIntError;
 use std::path::PathBuf;
 use thiserror::Error;
@@ -26,6 +27,15 @@
     /// The file is not JSON, or a key is missing or of the wrong type; the cause names it.
     #[error("bad configuration: {0}")]
     Malformed(#[from] serde_json::Error),
+    /// The value of a key is no IP address with a port.
+    #[error("bad configuration: {key}: {cause}")]
+    InvalidAddress {
+        /// The key.
+        key: &'static str,
+        /// Why not.
+        #[source]
+        cause: AddrParseError,
+    },
     /// `seed` is not a hexadecimal number of 64 bits.
     #[error("bad configuration: seed: {0}")]
     InvalidSeed(#[from] ParseIntError),
@@ -52,3 +62,7 @@
         least: usize,
     },
 }
+
+#[cfg(test)]
+#[path = "error_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/node/src/config/error_tests.rs
@@ -0,0 +1,27 @@
+use crate::config::Config;
+
+const GOOD: &str = r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"7f","limits":{"sockets":1024},
+    "settings":{"Classes":[{"Name":"read","Target":200,"GiveUp":400,"Idempotency":"free"}]}}"#;
+
+/// Parses the good configuration with `from` replaced by `to`; returns the error's text.
+fn error(from: &str, to: &str) -> String {
+    assert!(GOOD.contains(from), "{from}");
+    let error = Config::parse(&GOOD.replace(from, to)).err().expect("a bad configuration");
+    error.to_string()
+}
+
+#[test]
+fn errors_are_one_line_that_names_the_key_and_the_cause() {
+    assert!(Config::parse(GOOD).is_ok());
+    let cases = [
+        ("\"127.0.0.1:0\"", "\"here\"", "listen: invalid socket address syntax"),
+        ("\"127.0.0.1:1\"", "\"there\"", "discovery: invalid socket address syntax"),
+        ("7f", "7x", "seed: invalid digit found in string"),
+        ("1024", "49", "limits.sockets: 49 sockets are too few: 50 at least"),
+        ("\"Name\":\"read\"", "\"Name\":\"\"", "settings.Classes: a name is empty or stands twice in [\"\"]"),
+        ("\"listen\"", "\"listens\"", "missing field `listen` at line 2 column 92"),
+    ];
+    for (from, to, expected) in cases {
+        assert_eq!(error(from, to), format!("bad configuration: {expected}"));
+    }
+}
--- a/crates/node/src/config/file.rs
+++ b/crates/node/src/config/file.rs
@@ -2,15 +2,14 @@
 
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use std::net::SocketAddr;
 
 /// The whole file.
 #[derive(Deserialize)]
 pub struct File {
     #[serde(default)]
     pub name: String,
-    pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    pub listen: String,
+    pub discovery: String,
     #[serde(default)]
     pub seed: String,
     #[serde(default)]
