--- a/crates/node/src/config/error.rs
+++ b/crates/node/src/config/error.rs
@@ -2,6 +2,7 @@
 
 use ottertiller_balancer::SettingsError;
 use std::io;
+use std::net::AddrParseError;
 use std::num::ParseIntError;
 use std::path::PathBuf;
 use thiserror::Error;
@@ -27,6 +28,15 @@
     /// The file is not JSON, or a key is missing or of the wrong type; the cause names it.
     #[error("bad configuration: {0}")]
     Malformed(#[from] serde_json::Error),
+    /// The value of a key is no IP address with a port.
+    #[error("bad configuration: {key}: {cause}")]
+    InvalidAddress {
+        /// The key.
+        key: &'static str,
+        /// Why not.
+        #[source]
+        cause: AddrParseError,
+    },
     /// `seed` is not a hexadecimal number of 64 bits.
     #[error("bad configuration: seed: {0}")]
     InvalidSeed(#[from] ParseIntError),
@@ -50,3 +60,7 @@
         least: usize,
     },
 }
+
+#[cfg(test)]
+#[path = "error_tests.rs"]
+mod tests;
