Break the last import circles of the balancer and the upstream side

What the balancer keeps about an endpoint for each concern (send count, permit, reported load) lies below the endpoint set, the settings' types below the parser of the settings file, and the checkout's result below pool, dial and waiters. No module of the two crates imports one that imports it.

--- a/crates/balancer/src/endpoint_set.rs
+++ b/crates/balancer/src/endpoint_set.rs
@@ -1,10 +1,10 @@
 //! The listed endpoints and what each concern keeps about them. Nothing here decides anything.
 
 use crate::health::endpoint_health::Health;
-use crate::health::load_report::ReportedLoad;
-use crate::routing::join_up_to::SendCount;
+use crate::health::reported_load::ReportedLoad;
+use crate::routing::permit::Permit;
 use crate::routing::ring::Ring;
-use crate::routing::slow_start::Permit;
+use crate::routing::send_count::SendCount;
 use crate::{EndpointEntry, EndpointId, EndpointState, ListKind, Settings};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -68,7 +68,7 @@
     /// The mean send count of the next so many endpoints on the ring.
     pub fn mean_send_count(&self, endpoints: usize) -> u32 {
         let endpoints = endpoints.min(self.ready.len());
-        let sends: u32 = self.ring().take(endpoints).map(|endpoint| endpoint.sends.since_idle).sum();
+        let sends: u32 = self.ring().take(endpoints).map(|endpoint| endpoint.sends.since_idle()).sum();
         sends / endpoints.max(1) as u32
     }
 
--- a/crates/balancer/src/health/load_report.rs
+++ b/crates/balancer/src/health/load_report.rs
@@ -1,6 +1,5 @@
 //! How loaded an endpoint is: its own report while that is recent, else the node's attempts in flight there.
 
-use crate::LoadReport;
 use crate::arithmetic::SMOOTHING;
 use crate::endpoint_set::Endpoint;
 use std::time::Duration;
@@ -16,31 +15,6 @@
     load < IDLE_BELOW
 }
 
-/// The load that a report tells of: requests in flight, or waiting where that is all there is.
-pub fn reported_load(report: &LoadReport) -> Option<f64> {
-    report.in_flight.or(report.queue).map(f64::from)
-}
-
-/// The last load that an endpoint reported.
-#[derive(Clone, Copy)]
-pub struct ReportedLoad {
-    /// The reported requests, and own sends since.
-    requests: f64,
-    at: Duration,
-}
-
-impl ReportedLoad {
-    /// A report of this many requests.
-    pub fn new(requests: f64, at: Duration) -> Self {
-        ReportedLoad { requests, at }
-    }
-
-    /// An attempt was sent there since the report.
-    pub fn add_send(&mut self) {
-        self.requests += 1.0;
-    }
-}
-
 /// The loads of endpoints at one moment.
 pub struct FreshLoads {
     now: Duration,
@@ -63,8 +37,8 @@
 
     /// The recently reported load of an endpoint, with own sends since.
     pub fn reported(&self, endpoint: &Endpoint) -> Option<f64> {
-        let recent = endpoint.reported_load.filter(|load| self.polled && self.is_recent(load.at));
-        recent.map(|load| load.requests)
+        let recent = endpoint.reported_load.filter(|load| self.polled && self.is_recent(load.reported_at()));
+        recent.map(|load| load.requests())
     }
 
     /// The load of an endpoint: the reported one, or one guessed from own attempts and their failures, but
--- a/crates/balancer/src/health/mod.rs
+++ b/crates/balancer/src/health/mod.rs
@@ -5,3 +5,4 @@
 pub mod load_report;
 pub mod observation;
 pub mod outlier;
+pub mod reported_load;
--- a/crates/balancer/src/routing/join_up_to.rs
+++ b/crates/balancer/src/routing/join_up_to.rs
@@ -13,22 +13,6 @@
 /// What remains of the counted sends and idle signs at each send: the last 500 or so decide on m.
 const MEMORY: f64 = 0.998;
 
-/// The sends to one endpoint, as the algorithm counts them.
-#[derive(Clone, Copy, Default)]
-pub struct SendCount {
-    /// Own sends since it last showed idle.
-    pub since_idle: u32,
-    /// When it last showed idle.
-    idle_at: Option<Duration>,
-}
-
-impl SendCount {
-    /// The count of a newly listed endpoint: at zero, all nodes would join it at once.
-    pub fn starting_at(since_idle: u32) -> Self {
-        SendCount { since_idle, idle_at: None }
-    }
-}
-
 /// The algorithm's state beside the counts.
 pub struct JoinUpTo {
     /// Own sends and idle signs, forgotten slowly.
@@ -68,8 +52,8 @@
 
     /// The count of an endpoint; m if its idle sign has lapsed.
     fn count(&self, endpoint: &Endpoint, loads: &FreshLoads, cap: u32) -> u32 {
-        let sign_is_recent = || endpoint.sends.idle_at.is_some_and(|at| loads.is_recent(at));
-        if self.signs_lapse && !sign_is_recent() { cap } else { endpoint.sends.since_idle }
+        let sign_is_recent = || endpoint.sends.idle_at().is_some_and(|at| loads.is_recent(at));
+        if self.signs_lapse && !sign_is_recent() { cap } else { endpoint.sends.since_idle() }
     }
 
     /// The cap m of Theorem 6 of the paper for exponential job sizes, from own sends per idle sign (its
@@ -84,7 +68,7 @@
 
     /// An attempt was sent to this endpoint.
     pub fn record_send(&mut self, endpoint: &mut Endpoint) {
-        endpoint.sends.since_idle += 1;
+        endpoint.sends.increment();
         self.sends = self.sends * MEMORY + 1.0;
         self.idle_signs *= MEMORY;
     }
@@ -97,11 +81,9 @@
         if !(is_idle(load) && served) {
             return;
         }
-        if endpoint.sends.since_idle > endpoint.in_flight {
+        if endpoint.sends.reset(endpoint.in_flight, now) {
             self.idle_signs += 1.0;
-            endpoint.sends.since_idle = endpoint.in_flight;
         }
-        endpoint.sends.idle_at = Some(now);
     }
 }
 
--- a/crates/balancer/src/routing/mod.rs
+++ b/crates/balancer/src/routing/mod.rs
@@ -1,6 +1,8 @@
 //! Which endpoint a request goes to: Join-Up-To(m) over a subset of the endpoints, sparing those that start.
 
 pub mod join_up_to;
+pub mod permit;
 pub mod ring;
+pub mod send_count;
 pub mod slow_start;
 pub mod subset;
--- a/crates/balancer/src/routing/slow_start.rs
+++ b/crates/balancer/src/routing/slow_start.rs
@@ -9,6 +9,7 @@
 use crate::arithmetic::Random;
 use crate::endpoint_set::{Endpoint, EndpointSet};
 use crate::estimates::EndpointShare;
+use crate::routing::permit::Permit;
 use crate::{EndpointId, Settings};
 use std::time::Duration;
 
@@ -20,26 +21,6 @@
 /// Requests of more than this multiple of the mean work go to warm endpoints only.
 const MAX_RELATIVE_WORK: f64 = 2.0;
 
-/// An endpoint's permit for one request while it starts.
-#[derive(Clone, Copy, Default)]
-pub struct Permit {
-    /// When it expires; in the past if there is none.
-    expires: Duration,
-    drawn_at: Duration,
-}
-
-impl Permit {
-    /// No permit; the first draw counts the time from `now`.
-    pub fn none(now: Duration) -> Self {
-        Permit { expires: Duration::ZERO, drawn_at: now }
-    }
-
-    /// The permit was used for a request.
-    pub fn consume(&mut self) {
-        self.expires = Duration::ZERO;
-    }
-}
-
 /// Issues the permits of starting endpoints.
 pub struct SlowStart {
     initial_capacity: f64,
@@ -82,7 +63,7 @@
 
     /// Whether the endpoint may be sent a request of this relative work.
     pub fn allows(&self, endpoint: &Endpoint, relative_work: f64, now: Duration) -> bool {
-        let has_permit = endpoint.permit.expires > now && relative_work <= MAX_RELATIVE_WORK;
+        let has_permit = endpoint.permit.is_valid(now) && relative_work <= MAX_RELATIVE_WORK;
         self.is_warm(endpoint, now) || has_permit
     }
 
@@ -120,12 +101,9 @@
 
     /// Draws one permit with the probability that a Poisson process of this rate has had an event since.
     fn draw_permit(&self, permit: &mut Permit, rate: f64, draw: f64, now: Duration) {
-        let since = now.saturating_sub(permit.drawn_at).min(self.permit_lifetime).as_secs_f64();
+        let since = permit.since_draw(now).min(self.permit_lifetime).as_secs_f64();
         let won = draw < 1.0 - (-rate * since).exp();
-        if won && permit.expires <= now {
-            permit.expires = now + self.permit_lifetime;
-        }
-        permit.drawn_at = now;
+        permit.record_draw(won, self.permit_lifetime, now);
     }
 
     /// Updates the estimate of what a warm endpoint serves for this node.
--- a/crates/balancer/src/settings/file.rs
+++ b/crates/balancer/src/settings/file.rs
@@ -1,7 +1,11 @@
 //! The settings file: JSON in the words of the wire protocol, turned into typed [`Settings`] and the names by
 //! which the rest of a node knows classes, tenants and zones.
 
-use super::*;
+use super::error::SettingsError;
+use super::model::{
+    Goal, Idempotency, Limits, LoadReportSource, Prices, RequestClass, Rules, Scope, Settings, Tenant,
+};
+use super::report_column::Column;
 use serde::Deserialize;
 use std::time::Duration;
 
--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -9,7 +9,8 @@
     Message, StopReason,
 };
 use crate::request_table::{NewAttempt, RequestTable, Timer};
-use crate::upstream::{Attempt, Upstream};
+use crate::upstream::Upstream;
+use crate::upstream::attempt::Attempt;
 use ottertiller_balancer::*;
 use std::collections::VecDeque;
 use std::rc::Rc;
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -1,14 +1,12 @@
 //! The upstream side: connections to endpoints, attempts of requests and health checks.
 
-mod attempt;
+pub mod attempt;
 mod health_check;
 mod load_report;
 pub mod pool;
 mod request;
 mod response;
 
-pub use attempt::Attempt;
-
 use crate::clock::Clock;
 use crate::memory_budget::Budget;
 use crate::message::ListedEndpoint;
--- a/crates/node/src/upstream/pool/checkout.rs
+++ b/crates/node/src/upstream/pool/checkout.rs
@@ -2,15 +2,12 @@
 
 use crate::logging::log_peer;
 use crate::upstream::pool::Pool;
-use crate::upstream::pool::connection::{Connection, ConnectionPermit};
+use crate::upstream::pool::connection::{CheckoutResult, Connection, ConnectionPermit};
 use crate::upstream::pool::dial::Dial;
 use ottertiller_balancer::{EndpointId, Outcome};
 use std::rc::Rc;
 use tokio::sync::oneshot;
 
-/// A connection, or why there is none: the attempt ends with that outcome.
-pub type CheckoutResult = Result<Connection, Outcome>;
-
 enum Checkout<'a> {
     Ready(Connection),
     Pending(PendingCheckout<'a>),
--- a/crates/node/src/upstream/pool/connection.rs
+++ b/crates/node/src/upstream/pool/connection.rs
@@ -5,12 +5,15 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
-use ottertiller_balancer::EndpointId;
+use ottertiller_balancer::{EndpointId, Outcome};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::AbortHandle;
 
+/// A connection, or why there is none: the attempt ends with that outcome.
+pub type CheckoutResult = Result<Connection, Outcome>;
+
 /// The limit on open connections, counted from the start of their dials.
 pub struct ConnectionLimit {
     open: Rc<Cell<usize>>,
--- a/crates/node/src/upstream/pool/dial.rs
+++ b/crates/node/src/upstream/pool/dial.rs
@@ -3,9 +3,9 @@
 use crate::limits::READ_BUFFER_BYTES;
 use crate::logging::log_peer;
 use crate::socket::Socket;
-use crate::upstream::pool::connection::{Connection, ConnectionPermit};
+use crate::upstream::pool::Pool;
+use crate::upstream::pool::connection::{CheckoutResult, Connection, ConnectionPermit};
 use crate::upstream::pool::epoch::Epoch;
-use crate::upstream::pool::{CheckoutResult, Pool};
 use hyper::client::conn::http1;
 use ottertiller_balancer::{EndpointId, Outcome};
 use rustix::io::Errno;
--- a/crates/node/src/upstream/pool/mod.rs
+++ b/crates/node/src/upstream/pool/mod.rs
@@ -9,7 +9,6 @@
 mod registry;
 mod waiters;
 
-pub use checkout::CheckoutResult;
 pub use connection::Connection;
 
 use crate::clock::Clock;
