--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -16,7 +16,7 @@
 use crate::health::observation::Observation;
 use crate::health::outlier::OutlierDetector;
 use crate::health::reported_load::{ReportedLoad, reported_load};
-use crate::pending_request::PendingRequest;
+use crate::pending_request::{Attempt, PendingRequest};
 use crate::priority::Priorities;
 use crate::retry::budget::RetryBudget;
 use crate::retry::client_retry::ClientRetries;
@@ -151,7 +151,31 @@
         self.endpoints.apply(kind, entries, new_count, self.now);
     }
 
-    // What is learned of the endpoints.
+    // What is recorded of requests and endpoints.
+
+    fn on_stream_started(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.streaming = true;
+        }
+    }
+
+    /// An attempt was started.
+    fn record_attempt(&mut self, id: RequestId, attempt: Attempt) {
+        if let Some(endpoint) = self.endpoints.get_mut(attempt.endpoint.id) {
+            endpoint.in_flight += 1;
+            endpoint.permit.consume();
+            if let Some(load) = &mut endpoint.reported_load {
+                load.add_send();
+            }
+            self.join_up_to.record_send(endpoint);
+        }
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.health_checked = true;
+            request.attempts.push(attempt);
+        }
+        self.subset.record_send(self.now);
+        self.active_checks.release(id);
+    }
 
     fn learn(&mut self, end: &AttemptEnd) {
         let Some(request) = self.requests.get(&end.id) else { return };
--- a/crates/balancer/src/balancer/dispatch.rs
+++ b/crates/balancer/src/balancer/dispatch.rs
@@ -189,23 +189,6 @@
         let budget_allows = self.retry_budget.allows_retry_after(request.was_attempted());
         self.hedging.plan(request, self.response_times.median, retryable_for, budget_allows, self.now)
     }
-
-    fn record_attempt(&mut self, id: RequestId, attempt: Attempt) {
-        if let Some(endpoint) = self.endpoints.get_mut(attempt.endpoint.id) {
-            endpoint.in_flight += 1;
-            endpoint.permit.consume();
-            if let Some(load) = &mut endpoint.reported_load {
-                load.add_send();
-            }
-            self.join_up_to.record_send(endpoint);
-        }
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.health_checked = true;
-            request.attempts.push(attempt);
-        }
-        self.subset.record_send(self.now);
-        self.active_checks.release(id);
-    }
 }
 
 /// The endpoints whose load is not above the average of them all.
--- a/crates/balancer/src/balancer/life_cycle.rs
+++ b/crates/balancer/src/balancer/life_cycle.rs
@@ -50,12 +50,6 @@
         deadline.min(objective)
     }
 
-    pub(super) fn on_stream_started(&mut self, id: RequestId) {
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.streaming = true;
-        }
-    }
-
     pub(super) fn on_request_timer(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         if self.now >= request.deadline {
