Keep the port of an address that refuses connections

It had bound a port, closed it again and expected connections to it to be refused; meanwhile another test listened there.

RefusingAddress keeps the port bound and never listens on it. Another test, of a node that starts while discovery is down, uses it as well. The assertion on the retried request checks the status too.

--- a/crates/node/tests/node/discovery.rs
+++ b/crates/node/tests/node/discovery.rs
@@ -1,7 +1,6 @@
 //! The endpoint list: the watch on the discovery service, and what its lists change.
 
 use crate::support::*;
-use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 #[test]
@@ -58,8 +57,8 @@
 #[test]
 fn a_node_that_starts_while_discovery_is_down_serves_from_the_list_it_last_had() {
     let endpoint = ScriptedEndpoint::start(|_| ok("known"));
-    let down = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
-    let config = config(down, &settings(LONG_MS, ""), 1024);
+    let down = RefusingAddress::reserve();
+    let config = config(down.address, &settings(LONG_MS, ""), 1024);
     let known = entry("s-0", endpoint.address, "in_service");
     let node =
         NodeProcess::start(&config.replace("\"endpoints\":[]", &format!("\"endpoints\":[{known}]")), "");
--- a/crates/node/tests/node/forwarding.rs
+++ b/crates/node/tests/node/forwarding.rs
@@ -1,7 +1,6 @@
 //! Requests forwarded to endpoints: what is passed on, what is retried, and what ends an attempt.
 
 use crate::support::*;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -56,17 +55,17 @@
         let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&one, &two]);
         assert_eq!(node.client().request_correct().body, b"second", "{status}");
     }
-    // An endpoint that refuses connections.
-    let gone = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
+    let refusing = RefusingAddress::reserve();
     let endpoint = ScriptedEndpoint::start(|_| ok("here"));
     let (node, mut watch, _discovery) = start_node(&settings(LONG_MS, ""), &[]);
     watch.send_line(&list(
         9,
         true,
-        &[entry("s-0", gone, "in_service"), entry("s-1", endpoint.address, "in_service")],
+        &[entry("s-0", refusing.address, "in_service"), entry("s-1", endpoint.address, "in_service")],
     ));
     for _ in 0..8 {
-        assert_eq!(node.client().request_correct().body, b"here");
+        let response = node.client().request_correct();
+        assert_eq!((response.status(), response.body.as_slice()), (200, &b"here"[..]));
     }
 }
 
--- a/crates/node/tests/node/support/mod.rs
+++ b/crates/node/tests/node/support/mod.rs
@@ -8,6 +8,7 @@
 mod gate;
 mod message;
 mod process;
+mod refusing_address;
 
 pub use client::*;
 pub use config::*;
@@ -15,6 +16,7 @@
 pub use endpoint::*;
 pub use gate::*;
 pub use process::*;
+pub use refusing_address::*;
 
 use std::time::{Duration, Instant};
 
