--- a/crates/node/src/discovery/endpoint_list.rs
+++ b/crates/node/src/discovery/endpoint_list.rs
@@ -14,15 +14,15 @@
 
 /// A list is no JSON, or lacks what every list has.
 #[derive(Debug, thiserror::Error)]
-#[error("a malformed list was dropped: {0}")]
+#[error("malformed endpoint list dropped: {0}")]
 pub struct MalformedList(#[from] serde_json::Error);
 
 /// Why an entry of a list was dropped.
 #[derive(Debug, thiserror::Error)]
 pub enum EntryError {
-    #[error("a malformed line of the list was dropped: {0}")]
+    #[error("malformed endpoint list entry dropped: {0}")]
     Malformed(#[from] serde_json::Error),
-    #[error("a malformed line of the list was dropped: {name}: unknown zone {zone}")]
+    #[error("malformed endpoint list entry dropped: {name}: unknown zone {zone}")]
     UnknownZone { name: String, zone: String },
 }
 
--- a/crates/node/src/discovery/poll.rs
+++ b/crates/node/src/discovery/poll.rs
@@ -44,7 +44,7 @@
                     subscription.watching = subscription.wanted;
                 }
                 PollEvent::WatchBroken(error) => {
-                    log(format_args!("the watch broke: {error}"));
+                    log(format_args!("endpoint list watch failed: {error}"));
                     subscription.watching = false;
                     self.publish(ListKind::Failed, Vec::new()).await;
                 }
@@ -78,7 +78,7 @@
             }
         };
         if let Err(error) = fetched {
-            log(format_args!("the list could not be fetched: {error}"));
+            log(format_args!("endpoint list fetch failed: {error}"));
             self.publish(ListKind::Failed, Vec::new()).await;
         }
     }
--- a/crates/node/src/discovery/watch.rs
+++ b/crates/node/src/discovery/watch.rs
@@ -17,7 +17,7 @@
             tokio::select! {
                 error = self.watch() => {
                     let pause = self.backoff.next_pause(opened.elapsed());
-                    log(format_args!("the watch broke: {error}"));
+                    log(format_args!("endpoint list watch failed: {error}"));
                     self.wait_to_watch_again(pause, &mut addresses).await;
                 }
                 address = next_address(&mut addresses) => self.move_to(address),
--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -160,7 +160,7 @@
     /// Whatever the balancer does, no request is left without an answer at its deadline.
     fn on_deadline(&mut self, id: RequestId) {
         if self.requests.answer(id, FinalAnswer::TimedOut) {
-            log_peer(format_args!("request {} was unanswered when its time was up: failed", id.0));
+            log_peer(format_args!("request {}: deadline exceeded without a final answer", id.0));
             self.on_event(Event::ClientDisconnected { id });
         }
     }
@@ -250,7 +250,7 @@
 
     fn command_discovery(&mut self, command: DiscoveryCommand) {
         if self.discovery.try_send(command).is_err() {
-            log("discovery has too much to do: a call was dropped");
+            log("discovery queue full: command dropped");
         }
     }
 }
--- a/crates/node/src/downstream/handler.rs
+++ b/crates/node/src/downstream/handler.rs
@@ -115,7 +115,7 @@
         read_deadline: Instant,
     ) -> Result<FullResponse, RequestError> {
         let Some(lease) = self.budget.lease(request.body_length) else {
-            log_peer("no room for a request's body: refused");
+            log_peer("memory budget exhausted: request shed");
             return Ok(response::shed(self.options.max_retry_after));
         };
         let body = request_body::read(body, request.body_length, lease, read_deadline).await?;
--- a/crates/node/src/downstream/mod.rs
+++ b/crates/node/src/downstream/mod.rs
@@ -77,7 +77,7 @@
             () = acceptor.run() => {}
             () = shutdown => {}
         }
-        log("told to stop: unready, finishing what is held");
+        log("shutdown requested: draining");
         self.drain(acceptor).await;
     }
 
@@ -99,7 +99,7 @@
     async fn end_overdue(&self) {
         let _ = self.dispatcher.send(Message::Shutdown).await; // fails only when the dispatcher has ended
         if timeout(LAST_REQUESTS, self.registry.wait_until_empty()).await.is_err() {
-            log("a client would not end its connection");
+            log("client connections still open at the end of the drain");
         }
     }
 }
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -77,7 +77,7 @@
     match admitted {
         Some(0) => log(text),
         Some(suppressed) => {
-            log(format_args!("{text} ({suppressed} lines about peers were left out before this one)"));
+            log(format_args!("{text} ({suppressed} messages about peers suppressed)"));
         }
         None => {}
     }
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -16,7 +16,7 @@
     while signal.recv().await.is_some() {
         match Config::from_env() {
             Ok(config) => apply(&config, &started_with, &discovery_address),
-            Err(error) => log(format_args!("{error}; the configuration stays as it was")),
+            Err(error) => log(format_args!("{error}; keeping the current configuration")),
         }
     }
 }
@@ -25,13 +25,13 @@
     let ignored = started_with.changes_that_need_restart(config);
     if !ignored.is_empty() {
         let keys = ignored.join(", ");
-        log(format_args!("changed in the configuration, but only a restart takes it in: {keys}"));
+        log(format_args!("configuration changes that need a restart: {keys}"));
     }
     let has_moved = discovery_address.send_if_modified(|address| {
         let differs = *address != config.discovery;
         *address = config.discovery;
         differs
     });
-    let change = if has_moved { "moved to" } else { "stays at" };
-    log(format_args!("configuration read again: discovery {change} {}", config.discovery));
+    let change = if has_moved { "changed to" } else { "is still" };
+    log(format_args!("configuration reloaded: discovery address {change} {}", config.discovery));
 }
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -49,10 +49,10 @@
     #[error("cannot listen: {0}")]
     LocalAddress(#[source] io::Error),
     /// The dispatcher's task has ended.
-    #[error("the node ended: {0:?}")]
+    #[error("the dispatcher task ended: {0:?}")]
     DispatcherEnded(Result<(), JoinError>),
     /// Discovery's task has ended.
-    #[error("discovery ended: {0:?}")]
+    #[error("the discovery task ended: {0:?}")]
     DiscoveryEnded(Result<(), JoinError>),
 }
 
--- a/crates/node/src/upstream/load_report.rs
+++ b/crates/node/src/upstream/load_report.rs
@@ -29,7 +29,7 @@
         let value = headers.get(LOAD_REPORT).filter(|_| self.is_enabled())?;
         let report = value.to_str().ok().and_then(|text| self.parse(text));
         if report.is_none() {
-            log_peer(format_args!("a malformed load report was dropped: {value:?}"));
+            log_peer(format_args!("malformed load report dropped: {value:?}"));
         }
         report
     }
--- a/crates/node/src/upstream/pool/checkout.rs
+++ b/crates/node/src/upstream/pool/checkout.rs
@@ -74,7 +74,7 @@
         }
         self.registry.borrow_mut().close_longest_idle();
         self.limit.try_acquire().ok_or_else(|| {
-            log_peer("the limit of open connections is reached: an attempt was not sent");
+            log_peer("upstream connection limit reached: attempt not sent");
             Outcome::NotSent
         })
     }
--- a/crates/node/src/upstream/response.rs
+++ b/crates/node/src/upstream/response.rs
@@ -48,9 +48,9 @@
 /// Why a response was dropped unread.
 #[derive(Debug, thiserror::Error)]
 enum Unreadable {
-    #[error("endpoint {:x}: a response of no length, or too long, was dropped", .0.0)]
+    #[error("endpoint {:x}: response without a length or too long: dropped", .0.0)]
     Length(EndpointId),
-    #[error("no room for a response's body: dropped")]
+    #[error("memory budget exhausted: response dropped")]
     OutOfMemory,
 }
 
--- a/crates/node/tests/node/discovery.rs
+++ b/crates/node/tests/node/discovery.rs
@@ -114,8 +114,8 @@
     let strange = entry("s-3", endpoint.address, "asleep");
     watch.send_line(&list(10, true, &[nowhere, strange, entry("s-0", endpoint.address, "in_service")]));
     assert_eq!(node.client().request_read().status(), 200);
-    node.wait_for_log("malformed list");
-    node.wait_for_log("malformed line");
+    node.wait_for_log("malformed endpoint list dropped");
+    node.wait_for_log("malformed endpoint list entry dropped");
     node.wait_for_log("malformed load report");
 }
 
@@ -199,7 +199,7 @@
                 call.write("20\r\n{\"index\":8,\"snapshot\":true,\"endp");
             }
             wait_until(|| node.is_ready(), "readiness");
-            assert_eq!(node.count_log_lines("the watch broke"), 0, "before the node gives its call up");
+            assert_eq!(node.count_log_lines("endpoint list watch failed"), 0, "before the node gives its call up");
             assert_eq!(node.client().request_read().body, b"known");
             drop(call);
         }
--- a/crates/node/tests/node/reload.rs
+++ b/crates/node/tests/node/reload.rs
@@ -31,7 +31,7 @@
     let endpoint = ScriptedEndpoint::start(|_| ok("here"));
     let (node, mut watch, discovery) = start_node(&settings(LONG_MS, ""), &[&endpoint]);
     node.reload("not JSON");
-    node.wait_for_log("the configuration stays as it was");
+    node.wait_for_log("keeping the current configuration");
     assert_eq!(node.client().request_read().body, b"here");
     // The old watch goes on, and a valid file still takes effect.
     let moved = ScriptedEndpoint::start(|_| ok("there"));
@@ -42,7 +42,7 @@
     let other = config(elsewhere.address, &settings(LONG_MS + 1, ""), 512).replace("\"n0\"", "\"n1\"");
     node.reload(&other);
     elsewhere.next_call();
-    node.wait_for_log("only a restart takes it in: name, limits, settings");
+    node.wait_for_log("configuration changes that need a restart: name, limits, settings");
     // And back again, several times in a row.
     (0..5).for_each(|_| node.reload(&other));
     node.reload(&config(discovery.address, &settings(LONG_MS, ""), 1024));
@@ -80,9 +80,9 @@
     held.send_correct();
     endpoint.next_request();
     node.terminate();
-    node.wait_for_log("told to stop");
+    node.wait_for_log("shutdown requested");
     node.reload(&config(discovery.address, &settings(LONG_MS, ""), 1024));
-    node.wait_for_log("read again");
+    node.wait_for_log("configuration reloaded");
     gate_keeper.release_one();
     assert_eq!(held.receive().expect("a request in flight has a response").body, b"held");
     assert_eq!(node.wait_for_exit().code(), Some(0));
--- a/crates/node/tests/node/shutdown.rs
+++ b/crates/node/tests/node/shutdown.rs
@@ -21,7 +21,7 @@
     held.send_correct();
     wait_until(|| all() == 1, "the request at an endpoint");
     node.terminate();
-    node.wait_for_log("told to stop");
+    node.wait_for_log("shutdown requested");
     // It still accepts and serves, but is not ready.
     assert!(!node.is_ready());
     let (mut late, close) = (node.client(), Some("close"));
@@ -75,7 +75,7 @@
     client.send_correct();
     endpoint.next_request();
     node.terminate();
-    node.wait_for_log("told to stop");
+    node.wait_for_log("shutdown requested");
     node.terminate();
     assert_eq!(client.receive().expect("a response before the end").status(), 504);
     assert_eq!(node.wait_for_exit().code(), Some(0));
--- a/crates/simulator-adapter/src/error.rs
+++ b/crates/simulator-adapter/src/error.rs
@@ -1,6 +1,6 @@
 //! What ends the adapter: input and output that fail, and input that breaks the protocol.
 
-use crate::wire::BATCH_HEADER_SIZE;
+use crate::wire::layout::BATCH_HEADER_SIZE;
 use ottertiller_balancer::SettingsError;
 use std::io;
 use thiserror::Error;
--- a/crates/simulator-adapter/src/wire/batch.rs
+++ b/crates/simulator-adapter/src/wire/batch.rs
@@ -1,8 +1,8 @@
 //! Reading batches.
 
 use super::fields::FieldReader;
+use super::layout::{BATCH_HEADER_SIZE, EVENT_SIZE};
 use super::record::Record;
-use super::{BATCH_HEADER_SIZE, EVENT_SIZE};
 use crate::error::{AdapterError, BatchError, RecordError};
 use ottertiller_balancer::settings::millis;
 use std::io::Read;
--- a/crates/simulator-adapter/src/wire/mod.rs
+++ b/crates/simulator-adapter/src/wire/mod.rs
@@ -4,6 +4,7 @@
 mod batch;
 mod codes;
 mod fields;
+pub mod layout;
 mod record;
 mod reply;
 
@@ -11,14 +12,5 @@
 pub use record::{Input, RawLoadReport, Record};
 pub use reply::Reply;
 
-/// Number, count of records, length of all that follows, clock.
-pub const BATCH_HEADER_SIZE: usize = 20;
-/// Number, length of all that follows, count of records.
-const REPLY_HEADER_SIZE: usize = 12;
-const EVENT_SIZE: usize = 48;
-const ACTION_SIZE: usize = 32;
-/// An entry of an endpoint list, in the tail.
-const ENTRY_SIZE: usize = 23;
-
 #[cfg(test)]
 mod tests;
--- a/crates/simulator-adapter/src/wire/record.rs
+++ b/crates/simulator-adapter/src/wire/record.rs
@@ -1,8 +1,8 @@
 //! Decoding the records of a batch.
 
-use super::ENTRY_SIZE;
 use super::codes::{EventCode, endpoint_state, list_kind, outcome};
 use super::fields::FieldReader;
+use super::layout::ENTRY_SIZE;
 use crate::error::RecordError;
 use ottertiller_balancer::settings::{Column, millis};
 use ottertiller_balancer::{
--- a/crates/simulator-adapter/src/wire/reply.rs
+++ b/crates/simulator-adapter/src/wire/reply.rs
@@ -1,7 +1,7 @@
 //! Encoding replies.
 
 use super::codes::ActionCode;
-use super::{ACTION_SIZE, REPLY_HEADER_SIZE};
+use super::layout::{ACTION_SIZE, REPLY_HEADER_SIZE};
 use ottertiller_balancer::{Action, EndpointId};
 use std::time::Duration;
 
--- a/crates/simulator-adapter/src/wire/tests.rs
+++ b/crates/simulator-adapter/src/wire/tests.rs
@@ -1,5 +1,6 @@
 //! Frames in hexadecimal: what is read from batches, and what is written for actions.
 
+use super::layout::{ACTION_SIZE, ENTRY_SIZE, EVENT_SIZE};
 use super::*;
 use crate::error::AdapterError;
 use ottertiller_balancer::settings::{Column, millis};
