--- a/crates/balancer/src/retry/hedging.rs
+++ b/crates/balancer/src/retry/hedging.rs
@@ -13,7 +13,7 @@
 const TIMER_TOLERANCE: f64 = 0.99;
 /// The most attempts of a request in flight at once.
 const MAX_PARALLEL: usize = 2;
-/// Work beyond this multiple of the mean earns no more patience.
+/// Work beyond this multiple of the mean does not lengthen the delay.
 const MAX_RELATIVE_WORK: f64 = 1e3;
 
 /// How long to wait for an attempt, and when to start another one beside it.
@@ -33,8 +33,8 @@
         Hedging { parallel_attempts: settings.limits.parallel_attempts, tick: settings.tick }
     }
 
-    /// How long an attempt may be silent, by the median response time in seconds.
-    fn patience(&self, request: &PendingRequest, median: f64) -> Duration {
+    /// How long an attempt may be silent before a hedged one follows, by the median response time in seconds.
+    fn hedge_delay(&self, request: &PendingRequest, median: f64) -> Duration {
         let work = request.relative_work.clamp(1.0, MAX_RELATIVE_WORK);
         Duration::from_secs_f64(SILENT_AFTER_MEDIANS * median * work).max(2 * self.tick)
     }
@@ -42,7 +42,7 @@
     /// Whether an attempt may start now, beside those in flight.
     pub fn allows_attempt(&self, request: &PendingRequest, median: f64, now: Duration) -> bool {
         let Some(last) = request.last_in_flight() else { return true };
-        let silent_at = last.started + self.patience(request, median).mul_f64(TIMER_TOLERANCE);
+        let silent_at = last.started + self.hedge_delay(request, median).mul_f64(TIMER_TOLERANCE);
         self.parallel_attempts && request.in_flight() < MAX_PARALLEL && now >= silent_at
     }
 
@@ -58,15 +58,15 @@
         now: Duration,
     ) -> AttemptPlan {
         let time_left = request.deadline - now;
-        let patience = self.patience(request, median);
-        let room = retryable_for > patience && time_left > patience * 5 / 4;
-        if !(room && budget_allows) {
+        let hedge_delay = self.hedge_delay(request, median);
+        let has_time = retryable_for > hedge_delay && time_left > hedge_delay * 5 / 4;
+        if !(has_time && budget_allows) {
             return AttemptPlan { timeout: time_left, hedge_after: None };
         }
         if self.parallel_attempts {
-            return AttemptPlan { timeout: time_left, hedge_after: Some(patience) };
+            return AttemptPlan { timeout: time_left, hedge_after: Some(hedge_delay) };
         }
-        let timeout = patience.max(time_left - patience).min(retryable_for);
+        let timeout = hedge_delay.max(time_left - hedge_delay).min(retryable_for);
         AttemptPlan { timeout, hedge_after: None }
     }
 }
--- a/crates/balancer/src/settings/report_column.rs
+++ b/crates/balancer/src/settings/report_column.rs
@@ -27,7 +27,7 @@
 impl Column {
     /// The column of this name in a load report header or a health check's body: the name that settings files
     /// use, or that of the protocol.
-    pub fn on_sockets(name: &str) -> Self {
+    pub fn from_report_name(name: &str) -> Self {
         match name {
             "concurrent" | "inflight" => Column::Concurrent,
             "depth" | "queue" => Column::Depth,
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -32,7 +32,7 @@
     /// The most client connections.
     pub client_connections: usize,
     /// The most connections to endpoints.
-    pub backend_connections: usize,
+    pub endpoint_connections: usize,
     /// The most bytes of request and response bodies held at once.
     pub body_bytes: usize,
     /// The endpoint list as this node last had it: discovery's JSON, perhaps out of date.
@@ -68,7 +68,7 @@
             seed,
             limits: file.limits,
             client_connections: capacity.client_connections,
-            backend_connections: capacity.endpoint_connections,
+            endpoint_connections: capacity.endpoint_connections,
             body_bytes: capacity.body_bytes,
             known: file.known.map(|list| list.get().to_owned()),
             site,
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -143,7 +143,10 @@
         let version = list.index.unwrap_or(self.version);
         if kind == ListKind::Delta && version < self.version {
             // They would take back what is known since, such as that an endpoint drains.
-            log(format_args!("stale changes of version {version} dropped: the endpoint list is at {}", self.version));
+            log(format_args!(
+                "stale changes of version {version} dropped: the endpoint list is at {}",
+                self.version
+            ));
             list.entries.clear();
         }
         let endpoints = self.parse_entries(list.entries);
--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -210,8 +210,8 @@
         let now = self.clock.now();
         match self.requests.new_attempt(id, endpoint, now, self.max_attempts)? {
             NewAttempt::Permitted { number, forward } => {
-                let until = attempt_end(now, timeout, forward.deadline);
-                self.spawn_attempt(now, Attempt { id, number, endpoint, until, forward });
+                let expires_at = attempt_end(now, timeout, forward.deadline);
+                self.spawn_attempt(now, Attempt { id, number, endpoint, expires_at, forward });
                 None
             }
             NewAttempt::Refused { number, is_answered } => Some(Event::AttemptEnded(AttemptEnd {
@@ -229,7 +229,7 @@
     fn spawn_attempt(&mut self, now: Duration, attempt: Attempt) {
         let (stop, stopped) = oneshot::channel();
         self.requests.attempt_started(attempt.id, attempt.endpoint, now, stop);
-        self.requests.set_timer(attempt.until, Timer::AttemptTimeout(attempt.id, attempt.number));
+        self.requests.set_timer(attempt.expires_at, Timer::AttemptTimeout(attempt.id, attempt.number));
         let upstream = self.upstream.clone();
         let messages = self.messages.clone();
         spawn_local(async move {
--- a/crates/node/src/downstream/connection.rs
+++ b/crates/node/src/downstream/connection.rs
@@ -68,19 +68,19 @@
 
     /// The request has its response, after which the connection is kept.
     pub fn end_request(&self) {
-        self.socket.listen_anew();
+        self.socket.reset_first_byte();
         self.state.set(State::Idle { since: Instant::now() });
     }
 
     /// The request has its response, which is the last on this connection.
     pub fn end_last_request(&self) {
-        self.socket.listen_anew();
+        self.socket.reset_first_byte();
         self.state.set(State::Closing { since: Instant::now() });
     }
 
     /// When the request that is being read started: the first with the accept, a later one with its first byte.
     fn request_started(&self) -> Option<Instant> {
-        if self.has_sent_request.get() { self.socket.heard() } else { Some(self.accepted) }
+        if self.has_sent_request.get() { self.socket.first_byte_at() } else { Some(self.accepted) }
     }
 
     /// Closes the connection between requests; it is aborted if its client does not end it in time.
@@ -112,7 +112,7 @@
     /// Completes once the client has disconnected while its request was being served. At other times the HTTP layer
     /// notices that itself, and this never completes.
     pub async fn client_disconnected(&self) {
-        self.socket.left().await;
+        self.socket.peer_closed().await;
         if self.state.get() != State::Serving {
             std::future::pending().await
         }
@@ -124,7 +124,7 @@
         let is_read_late = self.request_started().is_some_and(|started| now > started + READ_TIMEOUT);
         match self.state.get() {
             State::Closing { since } if now > since + LINGER_TIMEOUT => self.abort(),
-            State::Idle { .. } if is_read_late && self.socket.is_quiet() => self.abort(),
+            State::Idle { .. } if is_read_late && self.socket.has_nothing_to_read() => self.abort(),
             State::Idle { since } if !is_read_late && now > since + IDLE_TIMEOUT => self.close(),
             State::Idle { .. } | State::Serving | State::Closing { .. } => {}
         }
@@ -141,7 +141,7 @@
     /// The rank of an idle connection on which no byte of a further request has been read.
     pub fn eviction_rank(&self) -> Option<EvictionRank> {
         match self.state.get() {
-            State::Idle { since } if self.socket.heard().is_none() => {
+            State::Idle { since } if self.socket.first_byte_at().is_none() => {
                 Some(EvictionRank { has_sent_request: self.has_sent_request.get(), idle_since: since })
             }
             State::Idle { .. } | State::Serving | State::Closing { .. } => None,
@@ -150,6 +150,6 @@
 
     /// Whether the kernel has no unread bytes for this connection. Takes a system call.
     pub fn has_nothing_to_read(&self) -> bool {
-        self.socket.is_quiet()
+        self.socket.has_nothing_to_read()
     }
 }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -43,11 +43,11 @@
 pub enum FinalAnswer {
     /// An endpoint's response body.
     Served(Bytes),
-    /// Shed: the request never ran. Carries the delay after which the client may retry, if it is to be told.
+    /// Rejected; the client may safely retry, after this delay if it is given one.
     Shed(Option<Duration>),
-    /// Failed: the request may have run.
+    /// Failed, with no promise that a retry is safe.
     Failed,
-    /// Unanswered at the deadline: the request may have run.
+    /// Unanswered at the deadline, with no promise that a retry is safe.
     TimedOut,
 }
 
--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -28,7 +28,7 @@
 
 struct Shared {
     stream: TcpStream,
-    /// When the first bytes arrived since `Handle::listen_anew`.
+    /// When the first bytes arrived since `Handle::reset_first_byte`.
     first_byte_at: Cell<Option<Instant>>,
     /// What `Handle::left` has read and hyper has not asked for yet; `MAX_READ_BYTES` at most.
     read_ahead: RefCell<Vec<u8>>,
@@ -110,13 +110,13 @@
 }
 
 impl Handle {
-    /// When the first bytes arrived since the stream was opened or [`Handle::listen_anew`] was called.
-    pub fn heard(&self) -> Option<Instant> {
+    /// When the first bytes arrived since the stream was opened or [`Handle::reset_first_byte`] was called.
+    pub fn first_byte_at(&self) -> Option<Instant> {
         self.0.upgrade()?.first_byte_at.get()
     }
 
     /// Forgets when the first bytes arrived: the next ones are the first.
-    pub fn listen_anew(&self) {
+    pub fn reset_first_byte(&self) {
         if let Some(shared) = self.0.upgrade() {
             shared.first_byte_at.set(None);
         }
@@ -124,7 +124,7 @@
 
     /// Whether it is open and has nothing to read. Asks the kernel: what the runtime knows may be one turn of the
     /// loop old.
-    pub fn is_quiet(&self) -> bool {
+    pub fn has_nothing_to_read(&self) -> bool {
         let Some(shared) = self.0.upgrade() else { return false };
         if !shared.read_ahead.borrow().is_empty() {
             return false;
@@ -136,19 +136,19 @@
     /// Ends once the peer has closed its side. Hyper does not check for that while bytes wait behind the request it
     /// serves, so these are read ahead, as far as there is room for them. To be polled after hyper, which has to get
     /// first what it wants.
-    pub async fn left(&self) {
+    pub async fn peer_closed(&self) {
         let Some(shared) = self.0.upgrade() else { return };
         if shared.fill_read_ahead().await == ReadAheadEnd::PeerClosed {
             return;
         }
         // No more can be read ahead: only the runtime's readiness is left, which wakes nobody.
-        while !self.has_left() {
+        while !self.is_peer_closed() {
             sleep(PEER_CHECK_INTERVAL).await;
         }
     }
 
     /// Whether the peer is known to have closed its side, whatever waits to be read before that.
-    pub fn has_left(&self) -> bool {
+    pub fn is_peer_closed(&self) -> bool {
         let Some(shared) = self.0.upgrade() else { return true };
         let ready = pin!(shared.stream.ready(Interest::READABLE));
         let polled = ready.poll(&mut Context::from_waker(Waker::noop()));
--- a/crates/node/src/socket_tests.rs
+++ b/crates/node/src/socket_tests.rs
@@ -26,7 +26,7 @@
             let (_socket, handle) = Socket::new(stream);
             peer.write_all(&vec![b'.'; waits]).expect("room");
             assert!(
-                timeout(DISCONNECT_DEADLINE, handle.left()).await.is_err(),
+                timeout(DISCONNECT_DEADLINE, handle.peer_closed()).await.is_err(),
                 "it is there, with {waits} bytes waiting"
             );
             if resets {
@@ -35,7 +35,7 @@
             drop(peer);
             // The kernel is to have it before time moves on: it may be held up where the machine is busy.
             std::thread::sleep(KERNEL);
-            let known = timeout(DISCONNECT_DEADLINE, handle.left()).await;
+            let known = timeout(DISCONNECT_DEADLINE, handle.peer_closed()).await;
             assert!(known.is_ok(), "{waits} bytes wait before its end, resets: {resets}");
         }
     });
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -118,7 +118,7 @@
 /// What the upstream side takes from the configuration.
 pub fn upstream_options(config: &Config) -> upstream::Options {
     let pool = upstream::pool::Options {
-        max_connections: config.backend_connections,
+        max_connections: config.endpoint_connections,
         connect_timeout: config.site.settings.limits.connect_timeout,
         endpoint_idle_timeout: config.site.idle_close,
         response_cooldown: RESPONSE_COOLDOWN,
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -24,7 +24,7 @@
     pub number: u32,
     pub endpoint: EndpointId,
     /// When the node stops waiting for it.
-    pub until: Duration,
+    pub expires_at: Duration,
     pub forward: Rc<ForwardedRequest>,
 }
 
--- a/crates/node/src/upstream/attempt_tests.rs
+++ b/crates/node/src/upstream/attempt_tests.rs
@@ -29,8 +29,8 @@
             idempotency_window: Some(MINUTE),
             first_byte: Cell::new(None),
         };
-        let (until, forward) = (now + MINUTE, Rc::new(forward));
-        let mut attempt = Attempt { id: RequestId(1), number: 0, endpoint: ENDPOINT, until, forward };
+        let (expires_at, forward) = (now + MINUTE, Rc::new(forward));
+        let mut attempt = Attempt { id: RequestId(1), number: 0, endpoint: ENDPOINT, expires_at, forward };
         change(&pool, &mut attempt, endpoint, now);
         let (_stop, stopped) = oneshot::channel();
         let served = spawn_local(async move {
@@ -55,7 +55,7 @@
 #[test]
 fn an_attempt_no_longer_permitted_once_it_has_a_connection_is_never_sent() {
     let nothing = || (Outcome::NotSent, String::new());
-    let late = outcome_after(|_, attempt, _, now| attempt.until = now);
+    let late = outcome_after(|_, attempt, _, now| attempt.expires_at = now);
     assert_eq!(late, nothing(), "its time is over");
     let over = outcome_after(|_, attempt, _, _| attempt.forward.close());
     assert_eq!(over, nothing(), "the request has its final answer");
--- a/crates/node/src/upstream/load_report.rs
+++ b/crates/node/src/upstream/load_report.rs
@@ -47,7 +47,7 @@
         let mut report = LoadReport::default();
         for field in text.trim().split(',') {
             let (name, value) = field.split_once('=')?;
-            let column = Column::on_sockets(name.trim());
+            let column = Column::from_report_name(name.trim());
             let value = parse_value(value)?;
             if self.columns.contains(&column) {
                 column.set(&mut report, value);
--- a/crates/node/src/upstream/request.rs
+++ b/crates/node/src/upstream/request.rs
@@ -17,7 +17,7 @@
     /// The request as it is written at `now`, if it still may be: not past its time, not once endpoints have
     /// forgotten its idempotency key, and not once it has its final answer.
     pub(super) fn request(&self, now: Duration, destination: SocketAddr) -> Option<Request<Full<Bytes>>> {
-        if now >= self.until || self.is_key_forgotten(now) {
+        if now >= self.expires_at || self.is_key_forgotten(now) {
             return None;
         }
         let body = self.forward.body()?;
@@ -40,7 +40,7 @@
     }
 
     fn insert_headers(&self, headers: &mut HeaderMap, now: Duration, destination: SocketAddr) {
-        let remaining_ms = (self.until - now).as_millis().max(1) as u64;
+        let remaining_ms = (self.expires_at - now).as_millis().max(1) as u64;
         headers.insert(HOST, host(destination));
         headers.insert(CALL_ID, self.forward.call_id.clone());
         headers.insert(BUDGET_MS, remaining_ms.into());
--- a/crates/node/tests/node/discovery.rs
+++ b/crates/node/tests/node/discovery.rs
@@ -199,7 +199,11 @@
                 call.write("20\r\n{\"index\":8,\"snapshot\":true,\"endp");
             }
             wait_until(|| node.is_ready(), "readiness");
-            assert_eq!(node.count_log_lines("endpoint list watch failed"), 0, "before the node gives its call up");
+            assert_eq!(
+                node.count_log_lines("endpoint list watch failed"),
+                0,
+                "before the node gives its call up"
+            );
             assert_eq!(node.client().request_read().body, b"known");
             drop(call);
         }
