Name the key in errors of the configuration and the settings, and hash with the fnv crate

serde_path_to_error gives the path of the key that does not fit, such as Classes[0].Target; the test of the configuration's errors has two such cases. The endpoints' numbers stay FNV-1a, now from the fnv crate: the test of published values passes as before. A request's key that is no hexadecimal number is hashed by it too, which no decision reads.

--- a/crates/balancer/src/settings/file.rs
+++ b/crates/balancer/src/settings/file.rs
@@ -1,7 +1,7 @@
 //! The settings file: JSON in the words of the wire protocol, turned into typed [`Settings`] and the names by
 //! which the rest of a node knows classes, tenants and zones.
 
-use super::error::SettingsError;
+use super::error::{JsonError, SettingsError};
 use super::model::{
     Goal, Idempotency, Limits, LoadReportSource, Prices, RequestClass, Rules, Scope, Settings, Tenant,
 };
@@ -232,9 +232,17 @@
     Duration::from_micros((ms * 1000.0).round().clamp(0.0, LONGEST_US) as u64)
 }
 
+/// Parses JSON. An error names the path of the key that does not fit.
+pub fn from_json<'a, T: Deserialize<'a>>(text: &'a [u8]) -> Result<T, JsonError> {
+    let mut deserializer = serde_json::Deserializer::from_slice(text);
+    let value = serde_path_to_error::deserialize(&mut deserializer)?;
+    deserializer.end()?;
+    Ok(value)
+}
+
 /// Parses a settings file.
 pub fn parse(text: &[u8]) -> Result<Site, SettingsError> {
-    let raw: RawSettings = serde_json::from_slice(text)?;
+    let raw: RawSettings = from_json(text)?;
     if raw.classes.is_empty() {
         return Err(SettingsError::NoClasses);
     }
--- a/crates/balancer/src/settings/mod.rs
+++ b/crates/balancer/src/settings/mod.rs
@@ -5,8 +5,8 @@
 mod model;
 mod report_column;
 
-pub use error::SettingsError;
-pub use file::{Site, millis, parse};
+pub use error::{JsonError, SettingsError};
+pub use file::{Site, from_json, millis, parse};
 pub use model::{
     Goal, Idempotency, Limits, LoadReportSource, Prices, RequestClass, Rules, Scope, Settings, Tenant,
 };
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -54,7 +54,7 @@
 
     /// Parses and checks the text of a configuration file.
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
-        let file: File = serde_json::from_str(text)?;
+        let file: File = settings::from_json(text.as_bytes())?;
         let listen = parse_address("listen", &file.listen)?;
         let discovery = parse_address("discovery", &file.discovery)?;
         let seed = parse_seed(&file.seed)?;
--- a/crates/node/src/config/error.rs
+++ b/crates/node/src/config/error.rs
@@ -1,6 +1,6 @@
 //! Why a configuration cannot be used.
 
-use ottertiller_balancer::SettingsError;
+use ottertiller_balancer::settings::{JsonError, SettingsError};
 use std::io;
 use std::net::AddrParseError;
 use std::num::ParseIntError;
@@ -25,9 +25,9 @@
         #[source]
         cause: io::Error,
     },
-    /// The file is not JSON, or a key is missing or of the wrong type; the cause names it.
+    /// The file is not the expected JSON.
     #[error("bad configuration: {0}")]
-    Malformed(#[from] serde_json::Error),
+    Malformed(#[from] JsonError),
     /// The value of a key is no IP address with a port.
     #[error("bad configuration: {key}: {cause}")]
     InvalidAddress {
--- a/crates/node/src/config/error_tests.rs
+++ b/crates/node/src/config/error_tests.rs
@@ -19,6 +19,16 @@
         ("7f", "7x", "seed: invalid digit found in string"),
         ("1024", "49", "limits.sockets: 49 sockets are too few: 50 at least"),
         ("\"Name\":\"read\"", "\"Name\":\"\"", "settings.Classes: a name is empty or stands twice in [\"\"]"),
+        (
+            "{\"sockets\":1024}",
+            "{\"sockets\":-1}",
+            "limits.sockets: invalid value: integer `-1`, expected usize at line 1 column 84",
+        ),
+        (
+            "200",
+            "\"soon\"",
+            "bad settings: Classes[0].Target: invalid type: string \"soon\", expected f64 at line 1 column 42",
+        ),
         ("\"listen\"", "\"listens\"", "missing field `listen` at line 2 column 92"),
     ];
     for (from, to, expected) in cases {
--- a/crates/node/src/discovery/endpoint_list.rs
+++ b/crates/node/src/discovery/endpoint_list.rs
@@ -1,10 +1,12 @@
 //! Parsing of endpoint lists, and the endpoints' numbers.
 
 use crate::message::ListedEndpoint;
+use fnv::FnvHasher;
 use ottertiller_balancer::settings::millis;
 use ottertiller_balancer::{EndpointEntry, EndpointId, EndpointState};
 use serde::Deserialize;
 use serde_json::Value;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 
 /// The kind of an endpoint whose kind has no name in the settings.
@@ -129,13 +131,9 @@
 /// An endpoint's number: the 64-bit FNV-1a hash of its name. It depends on the name alone, since it must be the same
 /// at every node and after every restart; nodes agree by it without a message between them. Never change it.
 fn endpoint_id(name: &str) -> EndpointId {
-    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    let mut hash = OFFSET_BASIS;
-    for byte in name.bytes() {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(PRIME);
-    }
-    EndpointId(hash)
+    let mut hasher = FnvHasher::default();
+    hasher.write(name.as_bytes());
+    EndpointId(hasher.finish())
 }
 
 #[cfg(test)]
--- a/crates/node/src/downstream/request_parser.rs
+++ b/crates/node/src/downstream/request_parser.rs
@@ -3,13 +3,14 @@
 use super::options::{Options, RequestClass};
 use super::request_error::RequestError;
 use crate::limits::MAX_BODY_BYTES;
+use fnv::FnvHasher;
 use hyper::Method;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use ottertiller_balancer::Idempotency;
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::hash::Hasher;
 use std::time::Duration;
 
 const CALL_ID: &str = "x-call-id";
@@ -114,8 +115,8 @@
 /// The number of a key: the same text gives the same number at every node.
 fn key_number(text: &str) -> u64 {
     u64::from_str_radix(text, 16).unwrap_or_else(|_| {
-        let mut hasher = DefaultHasher::new();
-        text.hash(&mut hasher);
+        let mut hasher = FnvHasher::default();
+        hasher.write(text.as_bytes());
         hasher.finish()
     })
 }
