--- a/crates/balancer/src/admission.rs
+++ b/crates/balancer/src/admission.rs
@@ -54,6 +54,7 @@
 }
 
 impl Admission {
+    /// Admits everything until attempts turn out late.
     pub fn new(settings: &Settings) -> Self {
         let mut in_time = [INITIAL_CLOSED_SHARE; LOAD_LEVELS];
         in_time[..INITIALLY_OPEN].fill(OPEN_ABOVE);
--- a/crates/balancer/src/endpoint_polling.rs
+++ b/crates/balancer/src/endpoint_polling.rs
@@ -24,6 +24,7 @@
 }
 
 impl EndpointPolling {
+    /// Before the first call.
     pub fn new(settings: &Settings) -> Self {
         let interval = settings.rules.poll_interval;
         EndpointPolling { interval, next_call: None, backoff: Duration::ZERO }
--- a/crates/balancer/src/health/active_check.rs
+++ b/crates/balancer/src/health/active_check.rs
@@ -26,6 +26,7 @@
 }
 
 impl ActiveChecks {
+    /// No health check in flight.
     pub fn new(settings: &Settings) -> Self {
         ActiveChecks {
             price: settings.prices.health_check,
@@ -91,10 +92,12 @@
         self.in_flight == 0
     }
 
+    /// The requests that wait for health checks.
     pub fn held(&self) -> &[RequestId] {
         &self.held
     }
 
+    /// Whether a request waits for health checks.
     pub fn holds(&self, id: RequestId) -> bool {
         self.held.contains(&id)
     }
--- a/crates/balancer/src/health/observation.rs
+++ b/crates/balancer/src/health/observation.rs
@@ -24,6 +24,7 @@
 }
 
 impl Observation {
+    /// What an attempt's end says; `class_mean` is the mean response time of its class, in seconds.
     pub fn new(
         request: &PendingRequest,
         attempt: &Attempt,
--- a/crates/balancer/src/health/outlier.rs
+++ b/crates/balancer/src/health/outlier.rs
@@ -27,6 +27,7 @@
 }
 
 impl OutlierDetector {
+    /// No failures yet.
     pub fn new(settings: &Settings) -> Self {
         OutlierDetector { base_ejection_time: settings.rules.overload_window, failure_rate: 0.0 }
     }
--- a/crates/balancer/src/priority.rs
+++ b/crates/balancer/src/priority.rs
@@ -21,6 +21,7 @@
 }
 
 impl Priorities {
+    /// Before the first request.
     pub fn new(settings: &Settings) -> Self {
         let nodes = f64::from(settings.node_count.max(1));
         let quota = |tenant: &Tenant| TokenBucket::new(tenant.quota_per_s / nodes);
--- a/crates/balancer/src/retry/budget.rs
+++ b/crates/balancer/src/retry/budget.rs
@@ -14,6 +14,7 @@
 }
 
 impl RetryBudget {
+    /// The budget of a node that has just started.
     pub fn new() -> Self {
         RetryBudget { tokens: INITIAL_TOKENS }
     }
--- a/crates/balancer/src/retry/hedging.rs
+++ b/crates/balancer/src/retry/hedging.rs
@@ -18,7 +18,9 @@
 
 /// How long to wait for an attempt, and when to start another one beside it.
 pub struct AttemptPlan {
+    /// When to give the attempt up.
     pub timeout: Duration,
+    /// When to start a hedged one beside it, if at all.
     pub hedge_after: Option<Duration>,
 }
 
@@ -29,6 +31,7 @@
 }
 
 impl Hedging {
+    /// As the site permits.
     pub fn new(settings: &Settings) -> Self {
         Hedging { parallel_attempts: settings.limits.parallel_attempts, tick: settings.tick }
     }
--- a/crates/balancer/src/routing/join_up_to.rs
+++ b/crates/balancer/src/routing/join_up_to.rs
@@ -25,6 +25,7 @@
 }
 
 impl JoinUpTo {
+    /// Before the first send.
     pub fn new(settings: &Settings) -> Self {
         JoinUpTo {
             sends: 1.0,
--- a/crates/balancer/src/routing/slow_start.rs
+++ b/crates/balancer/src/routing/slow_start.rs
@@ -33,6 +33,7 @@
 }
 
 impl SlowStart {
+    /// No permits yet.
     pub fn new(settings: &Settings) -> Self {
         let rules = &settings.rules;
         SlowStart {
--- a/crates/balancer/src/routing/subset.rs
+++ b/crates/balancer/src/routing/subset.rs
@@ -32,6 +32,7 @@
 }
 
 impl Subset {
+    /// Before the first send.
     pub fn new(settings: &Settings) -> Self {
         let per_send = if settings.loads_are_polled() { SIGHTINGS_PER_SEND_WITH_CHECKS } else { 1.0 };
         let window = settings.rate_window();
--- a/crates/node/src/config/file.rs
+++ b/crates/node/src/config/file.rs
@@ -6,16 +6,23 @@
 /// The whole file.
 #[derive(Deserialize)]
 pub struct File {
+    /// The node's name, for the log.
     #[serde(default)]
     pub name: String,
+    /// The address for clients.
     pub listen: String,
+    /// The address of discovery.
     pub discovery: String,
+    /// Seeds all random choices; hexadecimal, 64 bits.
     #[serde(default)]
     pub seed: String,
+    /// The resources that the node may use.
     #[serde(default)]
     pub limits: Limits,
+    /// The endpoint list as the node last had it, in discovery's format.
     #[serde(default)]
     pub known: Option<Box<RawValue>>,
+    /// The balancer's settings.
     pub settings: Box<RawValue>,
 }
 
--- a/crates/node/src/discovery/endpoint_list.rs
+++ b/crates/node/src/discovery/endpoint_list.rs
@@ -36,6 +36,7 @@
     /// Whether it is complete.
     #[serde(default)]
     pub snapshot: bool,
+    /// The entries, not parsed yet.
     #[serde(rename = "endpoints")]
     pub entries: Vec<Value>,
 }
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -35,8 +35,9 @@
     pub poll: bool,
     /// How long an endpoint that drains may still be sent requests.
     pub drain_grace: Duration,
-    /// The names of zones and of machine kinds, in the order of their numbers.
+    /// The names of zones, in the order of their numbers.
     pub zone_names: Vec<String>,
+    /// The names of machine kinds, in the order of their numbers.
     pub kind_names: Vec<String>,
 }
 
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -19,12 +19,15 @@
 
 /// An attempt to be made.
 pub struct Attempt {
+    /// The request.
     pub id: RequestId,
     /// The number of the attempt, from 0.
     pub number: u32,
+    /// Where it goes.
     pub endpoint: EndpointId,
     /// When the node stops waiting for it.
     pub expires_at: Duration,
+    /// What is sent.
     pub forward: Rc<ForwardedRequest>,
 }
 
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -19,6 +19,7 @@
 /// The options of the upstream side.
 #[derive(Clone, Debug)]
 pub struct Options {
+    /// The options of the connection pool.
     pub pool: pool::Options,
     /// How endpoints report their load.
     pub load_report_source: LoadReportSource,
--- a/crates/node/src/upstream/pool/connection.rs
+++ b/crates/node/src/upstream/pool/connection.rs
@@ -55,11 +55,13 @@
 
 /// A connection to an endpoint. When dropped it closes at once, even in the middle of an exchange.
 pub struct Connection {
+    /// Where it leads.
     pub endpoint: EndpointId,
     /// The epoch of the endpoint that it was dialled for.
     pub epoch: Epoch,
     /// The end of its cool-down after a response: it carries no further request before that.
     pub cooling_until: Duration,
+    /// Sends a request on it.
     pub sender: SendRequest<Full<Bytes>>,
     pub(super) socket: Handle,
     /// The task that drives it.
--- a/crates/node/src/upstream/pool/dial.rs
+++ b/crates/node/src/upstream/pool/dial.rs
@@ -19,9 +19,13 @@
 
 /// A connection to be opened.
 pub struct Dial {
+    /// The endpoint to connect to.
     pub endpoint: EndpointId,
+    /// Its epoch when the dial was decided on.
     pub epoch: Epoch,
+    /// Where it listens.
     pub address: SocketAddr,
+    /// The right to have the connection open.
     pub permit: ConnectionPermit,
 }
 
--- a/crates/node/src/upstream/pool/registry.rs
+++ b/crates/node/src/upstream/pool/registry.rs
@@ -15,7 +15,9 @@
     pub address: SocketAddr,
     /// The epoch that it is in.
     pub epoch: Epoch,
+    /// Idle connections to it.
     pub idle: IdleConnections,
+    /// Attempts that wait for a connection to it.
     pub waiters: WaiterQueue,
     /// Dials under way in this epoch: never fewer than waiters.
     pub dials_in_flight: usize,
--- a/crates/node/src/upstream/response.rs
+++ b/crates/node/src/upstream/response.rs
@@ -20,6 +20,7 @@
 
 /// How an exchange with an endpoint ended.
 pub struct ExchangeResult {
+    /// How the exchange ended.
     pub outcome: Outcome,
     /// The load report in the response's headers.
     pub report: Option<LoadReport>,
@@ -40,6 +41,7 @@
 
 /// A response that was read.
 pub struct ReceivedResponse {
+    /// What the exchange brought.
     pub result: ExchangeResult,
     /// The connection that it came on, unless that had to be closed.
     pub connection: Option<Connection>,
--- a/crates/simulator-adapter/src/instance.rs
+++ b/crates/simulator-adapter/src/instance.rs
@@ -16,10 +16,12 @@
 /// The decisions of an instance panicked.
 #[derive(Debug, PartialEq)]
 pub struct DecisionPanic {
+    /// The panic's message.
     pub message: String,
 }
 
 impl Instance {
+    /// Starts an instance from the text of its settings.
     pub fn start(settings: &[u8], seed: u64) -> Result<Self, RecordError> {
         let site = settings::parse(settings)?;
         Ok(Instance { balancer: Balancer::new(site.settings, seed), columns: site.columns })
--- a/crates/simulator-adapter/src/wire/batch.rs
+++ b/crates/simulator-adapter/src/wire/batch.rs
@@ -11,7 +11,9 @@
 /// A batch as it came in.
 #[derive(Debug)]
 pub struct Batch {
+    /// The number that the reply repeats.
     pub number: u32,
+    /// The simulator's clock, at which all its events occur.
     pub clock: Duration,
     record_count: usize,
     /// The records, and the tail that they point into.
--- a/crates/simulator-adapter/src/wire/codes.rs
+++ b/crates/simulator-adapter/src/wire/codes.rs
@@ -56,6 +56,7 @@
     }
 }
 
+/// Decodes what an endpoint list event brings.
 pub fn list_kind(code: u8) -> Result<ListKind, RecordError> {
     match code {
         0 => Ok(ListKind::Delta),
@@ -66,6 +67,7 @@
     }
 }
 
+/// Decodes how an attempt or a health check ended.
 pub fn outcome(code: u8) -> Result<Outcome, RecordError> {
     match code {
         0 => Ok(Outcome::Error),
@@ -80,6 +82,7 @@
     }
 }
 
+/// Decodes an endpoint's state.
 pub fn endpoint_state(code: u8) -> Result<EndpointState, RecordError> {
     match code {
         0 => Ok(EndpointState::Removed),
--- a/crates/simulator-adapter/src/wire/fields.rs
+++ b/crates/simulator-adapter/src/wire/fields.rs
@@ -10,6 +10,7 @@
 }
 
 impl<'a> FieldReader<'a> {
+    /// Reads from the first byte on.
     pub fn new(bytes: &'a [u8]) -> Self {
         FieldReader { rest: bytes }
     }
@@ -25,26 +26,32 @@
         self.bytes::<N>();
     }
 
+    /// The next unsigned integer of 8 bits.
     pub fn u8(&mut self) -> u8 {
         u8::from_be_bytes(self.bytes())
     }
 
+    /// The next unsigned integer of 16 bits.
     pub fn u16(&mut self) -> u16 {
         u16::from_be_bytes(self.bytes())
     }
 
+    /// The next unsigned integer of 32 bits.
     pub fn u32(&mut self) -> u32 {
         u32::from_be_bytes(self.bytes())
     }
 
+    /// The next unsigned integer of 64 bits.
     pub fn u64(&mut self) -> u64 {
         u64::from_be_bytes(self.bytes())
     }
 
+    /// The next number of single precision.
     pub fn f32(&mut self) -> f32 {
         f32::from_be_bytes(self.bytes())
     }
 
+    /// The next number of double precision.
     pub fn f64(&mut self) -> f64 {
         f64::from_be_bytes(self.bytes())
     }
--- a/crates/simulator-adapter/src/wire/record.rs
+++ b/crates/simulator-adapter/src/wire/record.rs
@@ -21,6 +21,7 @@
 pub struct Record {
     /// The instance that it is for.
     pub instance: u16,
+    /// What it says.
     pub input: Input,
 }
 
