--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -12,6 +12,7 @@
 use crate::estimates::{DeclaredWork, ResponseTimes};
 use crate::health::active_check::ActiveChecks;
 use crate::health::endpoint_health::HealthSignal;
+use crate::health::held_requests::HeldRequests;
 use crate::health::load_report::FreshLoads;
 use crate::health::observation::Observation;
 use crate::health::outlier::OutlierDetector;
@@ -49,6 +50,7 @@
     slow_start: SlowStart,
     outliers: OutlierDetector,
     active_checks: ActiveChecks,
+    held: HeldRequests,
     admission: Admission,
     priorities: Priorities,
     retry_budget: RetryBudget,
@@ -83,6 +85,7 @@
             slow_start: SlowStart::new(&settings),
             outliers: OutlierDetector::new(&settings),
             active_checks: ActiveChecks::new(&settings),
+            held: HeldRequests::default(),
             admission: Admission::new(&settings),
             priorities: Priorities::new(&settings),
             retry_budget: RetryBudget::new(),
@@ -119,7 +122,7 @@
         TableSizes {
             endpoints: self.endpoints.len(),
             requests: self.requests.len(),
-            held: self.active_checks.held().len(),
+            held: self.held.ids().len(),
         }
     }
 
@@ -174,7 +177,7 @@
             request.attempts.push(attempt);
         }
         self.subset.record_send(self.now);
-        self.active_checks.release(id);
+        self.held.release(id);
     }
 
     fn learn(&mut self, end: &AttemptEnd) {
@@ -212,9 +215,9 @@
             self.record_health(end.endpoint, HealthSignal::Unreachable);
         }
         let was_last = self.active_checks.record_end();
-        for id in self.active_checks.held().to_vec() {
+        for id in self.held.ids().to_vec() {
             if was_last {
-                self.active_checks.release(id);
+                self.held.release(id);
             }
             self.dispatch(id, actions);
         }
--- a/crates/balancer/src/balancer/dispatch.rs
+++ b/crates/balancer/src/balancer/dispatch.rs
@@ -93,7 +93,7 @@
         if let Some(endpoint) = self.join_up_to.lowest_below_cap(&preferred, &loads, draws.pick) {
             return Route::Send(endpoint);
         }
-        if self.active_checks.holds(id) {
+        if self.held.contains(id) {
             return Route::Wait;
         }
         let at_random = join_up_to::any(&preferred, draws.pick);
@@ -138,7 +138,8 @@
         actions: &mut Vec<Action>,
     ) {
         if self.active_checks.start(unknown, &mut self.endpoints, &mut self.random, actions) {
-            let after = self.active_checks.hold(id, self.response_times.mean);
+            self.held.hold(id);
+            let after = self.active_checks.max_hold(self.response_times.mean);
             actions.push(Action::SetTimer { after, token: id.0 });
             return;
         }
--- a/crates/balancer/src/balancer/life_cycle.rs
+++ b/crates/balancer/src/balancer/life_cycle.rs
@@ -57,7 +57,7 @@
         }
         // What was held for health checks, or for want of endpoints, has waited long enough.
         request.health_checked = true;
-        self.active_checks.release(id);
+        self.held.release(id);
         self.dispatch(id, actions);
     }
 
@@ -99,7 +99,7 @@
     /// Nothing more is sent for a request. Its attempts in flight are cancelled, and it is kept until they
     /// end.
     pub(super) fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        self.active_checks.release(id);
+        self.held.release(id);
         let Some(request) = self.requests.get_mut(&id) else { return };
         if !request.closed && !request.streaming && self.settings.limits.cancel {
             let attempts = request.attempts.iter().zip(0..);
--- a/crates/balancer/src/health/active_check.rs
+++ b/crates/balancer/src/health/active_check.rs
@@ -4,25 +4,23 @@
 use crate::arithmetic::{Random, SMOOTHING};
 use crate::endpoint_set::EndpointSet;
 use crate::pending_request::PendingRequest;
-use crate::{Action, EndpointId, RequestId, Settings};
+use crate::{Action, EndpointId, Settings};
 use std::time::Duration;
 
 /// The health checks for one request: the better of two random endpoints is nearly as good as the best of
 /// all.
 const CHECKS_PER_REQUEST: u32 = 2;
-/// The fraction of the mean response time that a request waits for them: an endpoint that answers a health
+/// The fraction of the mean response time that a request is held for them: an endpoint that answers a health
 /// check later is no place to send to.
-const PATIENCE_IN_RESPONSES: f64 = 1.0 / 16.0;
+const MAX_HOLD_IN_RESPONSES: f64 = 1.0 / 16.0;
 
-/// The health checks in flight and the requests that wait for them.
+/// The health checks in flight, and what decides on further ones.
 pub struct ActiveChecks {
     /// The price of one health check for each request, as a fraction of the service.
     price: f64,
     weight_by_work: bool,
     tick: Duration,
     in_flight: u32,
-    /// In the order of arrival.
-    held: Vec<RequestId>,
 }
 
 impl ActiveChecks {
@@ -33,7 +31,6 @@
             weight_by_work: settings.weight_by_work,
             tick: settings.tick,
             in_flight: 0,
-            held: Vec::new(),
         }
     }
 
@@ -80,10 +77,9 @@
         self.in_flight > 0
     }
 
-    /// Holds a request until health checks are answered, and returns how long it waits for them.
-    pub fn hold(&mut self, id: RequestId, mean_response_time: f64) -> Duration {
-        self.held.push(id);
-        Duration::from_secs_f64(mean_response_time * PATIENCE_IN_RESPONSES).max(4 * self.tick)
+    /// How long a held request waits for health checks.
+    pub fn max_hold(&self, mean_response_time: f64) -> Duration {
+        Duration::from_secs_f64(mean_response_time * MAX_HOLD_IN_RESPONSES).max(4 * self.tick)
     }
 
     /// A health check has ended. Returns whether it was the last one.
@@ -91,19 +87,4 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         self.in_flight == 0
     }
-
-    /// The requests that wait for health checks.
-    pub fn held(&self) -> &[RequestId] {
-        &self.held
-    }
-
-    /// Whether a request waits for health checks.
-    pub fn holds(&self, id: RequestId) -> bool {
-        self.held.contains(&id)
-    }
-
-    /// The request no longer waits for health checks.
-    pub fn release(&mut self, id: RequestId) {
-        self.held.retain(|held| *held != id);
-    }
 }
--- a/crates/balancer/src/health/mod.rs
+++ b/crates/balancer/src/health/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod active_check;
 pub mod endpoint_health;
+pub mod held_requests;
 pub mod load_report;
 pub mod observation;
 pub mod outlier;
--- a/crates/balancer/src/routing/mod.rs
+++ b/crates/balancer/src/routing/mod.rs
@@ -5,4 +5,5 @@
 pub mod ring;
 pub mod send_count;
 pub mod slow_start;
+pub mod starting_capacity;
 pub mod subset;
--- a/crates/balancer/src/routing/slow_start.rs
+++ b/crates/balancer/src/routing/slow_start.rs
@@ -10,6 +10,7 @@
 use crate::endpoint_set::{Endpoint, EndpointSet};
 use crate::estimates::EndpointShare;
 use crate::routing::permit::Permit;
+use crate::routing::starting_capacity::StartingCapacity;
 use crate::{EndpointId, Settings};
 use std::time::Duration;
 
@@ -23,8 +24,7 @@
 
 /// Issues the permits of starting endpoints.
 pub struct SlowStart {
-    initial_capacity: f64,
-    window: f64,
+    capacity: StartingCapacity,
     /// The load on a starting endpoint, as a multiple of its present capacity.
     load_factor: f64,
     permit_lifetime: Duration,
@@ -37,8 +37,7 @@
     pub fn new(settings: &Settings) -> Self {
         let rules = &settings.rules;
         SlowStart {
-            initial_capacity: rules.initial_capacity,
-            window: rules.slow_start_window.as_secs_f64(),
+            capacity: StartingCapacity::new(rules),
             load_factor: (rules.overload_factor * USED_OVERLOAD).min(MAX_OVERLOAD),
             permit_lifetime: rules.overload_window / 2,
             share: EndpointShare::new(settings),
@@ -57,7 +56,7 @@
 
     /// An endpoint has served work.
     pub fn record_served(&mut self, endpoint: &Endpoint, work: f64, now: Duration) {
-        if self.is_warm(endpoint, now) {
+        if self.capacity.is_full(endpoint, now) {
             self.share.record_served(work, now);
         }
     }
@@ -65,19 +64,7 @@
     /// Whether the endpoint may be sent a request of this relative work.
     pub fn allows(&self, endpoint: &Endpoint, relative_work: f64, now: Duration) -> bool {
         let has_permit = endpoint.permit.is_valid(now) && relative_work <= MAX_RELATIVE_WORK;
-        self.is_warm(endpoint, now) || has_permit
-    }
-
-    fn is_warm(&self, endpoint: &Endpoint, now: Duration) -> bool {
-        self.capacity(endpoint, now) >= 1.0
-    }
-
-    /// The fraction of its capacity that the endpoint has for certain.
-    fn capacity(&self, endpoint: &Endpoint, now: Duration) -> f64 {
-        let Some(started) = endpoint.entry.started else { return 1.0 };
-        let age = now.saturating_sub(started).as_secs_f64();
-        let grown = age / self.window.max(1e-6);
-        (self.initial_capacity + (1.0 - self.initial_capacity) * grown).min(1.0)
+        self.capacity.is_full(endpoint, now) || has_permit
     }
 
     /// Draws permits for the starting endpoints in and next to the subset.
@@ -89,13 +76,13 @@
         random: &mut Random,
     ) {
         let nearby = endpoints.ring().take(2 * subset_size);
-        let starting = nearby.filter(|endpoint| !self.is_warm(endpoint, now));
+        let starting = nearby.filter(|endpoint| !self.capacity.is_full(endpoint, now));
         let starting: Vec<EndpointId> = starting.map(|endpoint| endpoint.entry.id).collect();
         self.update_share(endpoints, subset_size, now);
         for id in starting {
             let draw = random.unit();
             let Some(endpoint) = endpoints.get_mut(id) else { continue };
-            let rate = self.load_factor * self.capacity(endpoint, now) * self.share.peak();
+            let rate = self.load_factor * self.capacity.at(endpoint, now) * self.share.peak();
             self.draw_permit(&mut endpoint.permit, rate, draw, now);
         }
     }
@@ -110,7 +97,7 @@
     /// Updates the estimate of what a warm endpoint serves for this node.
     fn update_share(&mut self, endpoints: &EndpointSet, subset_size: usize, now: Duration) {
         let subset = endpoints.ring().take(subset_size);
-        let warm = subset.filter(|endpoint| self.is_warm(endpoint, now)).count();
+        let warm = subset.filter(|endpoint| self.capacity.is_full(endpoint, now)).count();
         let sharing = subset_size.min(endpoints.ready_count());
         self.share.update(warm, sharing, now);
     }
