--- a/crates/node/src/dispatcher_tests.rs
+++ b/crates/node/src/dispatcher_tests.rs
@@ -85,6 +85,21 @@
         }
     }
 
+    /// Sends a request, and lets so much time pass.
+    async fn request_and_advance(
+        &mut self,
+        class: usize,
+        script: &str,
+        time: Duration,
+    ) -> (RequestId, oneshot::Receiver<FinalAnswer>) {
+        self.run(async |peers| {
+            let request = peers.request(class, script, DEADLINE).await;
+            sleep(time).await;
+            request
+        })
+        .await
+    }
+
     /// What every table of the node holds: the dispatcher's, the balancer's and the pool's.
     fn all_usage(&self) -> ((Usage, usize), TableSizes, crate::upstream::pool::Usage) {
         let balancer = self.dispatcher.balancer.table_sizes();
@@ -161,13 +176,7 @@
         let mut host = Host::start(&config("pull", 0.0));
         host.run(async |peers| peers.list(ListKind::Snapshot, vec![]).await).await;
         let before = host.usage();
-        let (_, pending) = host
-            .run(async |peers| {
-                let request = peers.request(SUBMIT, "ok", DEADLINE).await;
-                sleep(TARGET / 2).await;
-                request
-            })
-            .await;
+        let (_, pending) = host.request_and_advance(SUBMIT, "ok", TARGET / 2).await;
         assert_eq!(host.usage().0.requests, 1, "it waits for a server to be listed");
         assert_eq!(host.usage().1, BODY);
         let answer = host.run(async |_| pending.await.expect("an answer")).await;
@@ -236,13 +245,7 @@
         host.run(async |peers| peers.list(ListKind::Snapshot, vec![]).await).await;
         let before = host.usage();
         for refuse in [true, false] {
-            let (id, answer) = host
-                .run(async |peers| {
-                    let request = peers.request(SUBMIT, "ok", DEADLINE).await;
-                    sleep(Duration::from_millis(1)).await;
-                    request
-                })
-                .await;
+            let (id, answer) = host.request_and_advance(SUBMIT, "ok", Duration::from_millis(1)).await;
             assert_eq!(host.usage().0.requests, 1, "it is held");
             host.dispatcher.on_message(Message::EndpointList(EndpointListUpdate {
                 kind: ListKind::Snapshot,
@@ -260,19 +263,13 @@
 #[test]
 fn a_request_unanswered_at_its_deadline_leaves_nothing() {
     in_virtual_time(async {
-        // Late answers have worth, so that the deadline is what ends it.
+        // Late responses count, so that the deadline is what ends it.
         let mut host = Host::start(&config("piggyback", 0.5));
         let silent = scripted_endpoint::start(1, "").await;
         host.run(async |peers| peers.list(ListKind::Snapshot, vec![silent]).await).await;
         let before = host.usage();
         for class in [READ, SUBMIT, CORRECT] {
-            let (_, answer) = host
-                .run(async |peers| {
-                    let request = peers.request(class, "silence", DEADLINE).await;
-                    sleep(DEADLINE / 2).await;
-                    request
-                })
-                .await;
+            let (_, answer) = host.request_and_advance(class, "silence", DEADLINE / 2).await;
             assert_eq!(host.usage().0.requests, 1, "it has an attempt out");
             let answer = host.run(async |_| answer.await.expect("an answer")).await;
             assert!(!matches!(answer, FinalAnswer::Served(_)), "{answer:?}");
@@ -288,13 +285,7 @@
         let mut host = Host::start(&config("piggyback", 0.5));
         let silent = scripted_endpoint::start(1, "").await;
         host.run(async |peers| peers.list(ListKind::Snapshot, vec![silent]).await).await;
-        let (id, _answer) = host
-            .run(async |peers| {
-                let request = peers.request(CORRECT, "silence", DEADLINE).await;
-                sleep(DEADLINE / 2).await;
-                request
-            })
-            .await;
+        let (id, _answer) = host.request_and_advance(CORRECT, "silence", DEADLINE / 2).await;
         assert_eq!(host.usage().1, BODY);
         // The table alone, so that the attempt is not cancelled at once.
         assert!(host.dispatcher.requests.abandon(id));
--- a/crates/node/tests/node/endpoint_choice.rs
+++ b/crates/node/tests/node/endpoint_choice.rs
@@ -2,6 +2,21 @@
 
 use crate::support::*;
 
+/// Sends 20 requests, which the first endpoint fails and the second one serves.
+fn assert_both_stay_in_use(one: &ScriptedEndpoint, two: &ScriptedEndpoint) {
+    // An ejected endpoint stays so for the length of the test.
+    let settings = settings(LONG_MS, "").replace("2000}", r#"2000,"TipAfter":60000}"#);
+    let (node, _watch, _discovery) = start_node(&settings, &[one, two]);
+    let mut client = node.client();
+    (0..20).for_each(|_| assert_eq!(client.request_read().body, b"second"));
+    assert!(
+        one.request_count() >= 5 && two.request_count() >= 5,
+        "{} and {}",
+        one.request_count(),
+        two.request_count()
+    );
+}
+
 /// Any endpoint may send a response that can't be parsed: were each a reason to eject its endpoint, soon none would
 /// be left.
 #[test]
@@ -12,36 +27,17 @@
         b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nfour",
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nno\r\n0\r\n\r\n",
     ];
-    // An ejected endpoint stays so for the length of the test.
-    let settings = settings(LONG_MS, "").replace("2000}", r#"2000,"TipAfter":60000}"#);
     for bytes in nonsense {
         let (one, two) = endpoint_pair_with_first_reply(move || ScriptedReply::Raw(bytes));
-        let (node, _watch, _discovery) = start_node(&settings, &[&one, &two]);
-        let mut client = node.client();
-        (0..20).for_each(|_| assert_eq!(client.request_read().body, b"second"));
-        assert!(
-            one.request_count() >= 5 && two.request_count() >= 5,
-            "{} and {}",
-            one.request_count(),
-            two.request_count()
-        );
+        assert_both_stay_in_use(&one, &two);
     }
 }
 
 /// Healthy endpoints have connection resets too. An unreachable endpoint is another matter.
 #[test]
 fn a_connection_reset_during_a_request_does_not_eject_its_endpoint() {
-    let settings = settings(LONG_MS, "").replace("2000}", r#"2000,"TipAfter":60000}"#);
     let (one, two) = endpoint_pair_with_first_reply(|| ScriptedReply::CloseAfter(vec![]));
-    let (node, _watch, _discovery) = start_node(&settings, &[&one, &two]);
-    let mut client = node.client();
-    (0..20).for_each(|_| assert_eq!(client.request_read().body, b"second"));
-    assert!(
-        one.request_count() >= 5 && two.request_count() >= 5,
-        "{} and {}",
-        one.request_count(),
-        two.request_count()
-    );
+    assert_both_stay_in_use(&one, &two);
 }
 
 /// Reports name their fields as the settings do, or as the protocol does. A node that reads none of them sends
