Start an attempt in the request table in one call, with its stop channel

Cause: the dispatcher asked the table for an attempt, made the channel that stops it, and told the table of it in a second call, so that a permitted attempt could be left out of the table. Change: `start_attempt` does all three.

--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -208,10 +208,10 @@
 
     fn start_attempt(&mut self, id: RequestId, endpoint: EndpointId, timeout: Duration) -> Option<Event> {
         let now = self.clock.now();
-        match self.requests.new_attempt(id, endpoint, now, self.max_attempts)? {
-            NewAttempt::Permitted { number, forward } => {
+        match self.requests.start_attempt(id, endpoint, now, self.max_attempts)? {
+            NewAttempt::Started { number, forward, stopped } => {
                 let expires_at = attempt_end(now, timeout, forward.deadline);
-                self.spawn_attempt(now, Attempt { id, number, endpoint, expires_at, forward });
+                self.spawn_attempt(Attempt { id, number, endpoint, expires_at, forward }, stopped);
                 None
             }
             NewAttempt::Refused { number, is_answered } => Some(Event::AttemptEnded(AttemptEnd {
@@ -226,9 +226,7 @@
         }
     }
 
-    fn spawn_attempt(&mut self, now: Duration, attempt: Attempt) {
-        let (stop, stopped) = oneshot::channel();
-        self.requests.attempt_started(attempt.id, attempt.endpoint, now, stop);
+    fn spawn_attempt(&mut self, attempt: Attempt, stopped: oneshot::Receiver<StopReason>) {
         self.requests.set_timer(attempt.expires_at, Timer::AttemptTimeout(attempt.id, attempt.number));
         let upstream = self.upstream.clone();
         let messages = self.messages.clone();
--- a/crates/node/src/request_table.rs
+++ b/crates/node/src/request_table.rs
@@ -62,14 +62,16 @@
     pub was_answered: bool,
 }
 
-/// Whether another attempt of a request may start.
+/// Whether another attempt of a request has started.
 pub enum NewAttempt {
-    /// It may.
-    Permitted {
-        /// The number it will have.
+    /// It has, and is to be made.
+    Started {
+        /// The number it has.
         number: u32,
         /// What it forwards.
         forward: Rc<ForwardedRequest>,
+        /// Receives the reason if it is to stop.
+        stopped: oneshot::Receiver<StopReason>,
     },
     /// It may not, and counts as an attempt that has ended unsent.
     Refused {
@@ -160,8 +162,8 @@
         Some(reply)
     }
 
-    /// Asks for another attempt of a request that may have up to `max_attempts`; `None` if it is not in flight.
-    pub fn new_attempt(
+    /// Starts another attempt of a request that may have up to `max_attempts`; `None` if it is not in flight.
+    pub fn start_attempt(
         &mut self,
         id: RequestId,
         endpoint: EndpointId,
@@ -176,21 +178,9 @@
             request.attempts.push(AttemptEntry { endpoint, started: now, state: AttemptState::Ended });
             return Some(NewAttempt::Refused { number, is_answered });
         }
-        Some(NewAttempt::Permitted { number, forward: request.forward.clone() })
-    }
-
-    /// A permitted attempt starts; `stop` stops it.
-    pub fn attempt_started(
-        &mut self,
-        id: RequestId,
-        endpoint: EndpointId,
-        now: Duration,
-        stop: oneshot::Sender<StopReason>,
-    ) {
-        if let Some(request) = self.requests.get_mut(&id) {
-            let state = AttemptState::Running(stop);
-            request.attempts.push(AttemptEntry { endpoint, started: now, state });
-        }
+        let (stop, stopped) = oneshot::channel();
+        request.attempts.push(AttemptEntry { endpoint, started: now, state: AttemptState::Running(stop) });
+        Some(NewAttempt::Started { number, forward: request.forward.clone(), stopped })
     }
 
     /// An attempt has ended; `None` if it is not known or had ended before.
