--- a/crates/balancer/tests/properties.rs
+++ b/crates/balancer/tests/properties.rs
@@ -139,6 +139,12 @@
     }
 }
 
+/// Whether what was sent within a window is no more than an endpoint in slow start is allowed.
+fn check_window(in_window: f64, allowed: f64) -> Result<(), TestCaseError> {
+    prop_assert!(in_window <= allowed, "slow start: {} sent within a window, {} allowed", in_window, allowed);
+    Ok(())
+}
+
 /// Slow start, by an account of its own. This node is the only one with traffic, so the whole allowance of an endpoint
 /// in slow start is its to keep: factor x present capacity x window, with one request of slack.
 fn play_one_node_before_an_endpoint_in_slow_start(
@@ -186,12 +192,7 @@
             let fraction = 0.05 + 0.95 * (node.now - began).as_secs_f64() / 20.0;
             let in_window = sent.iter().filter(|at| **at + ms(1500) >= node.now).count() as f64;
             let allowed = 4.0 * fraction * 50.0 * 1.5 + 1.0;
-            prop_assert!(
-                in_window <= allowed,
-                "slow start: {} sent within a window, {} allowed",
-                in_window,
-                allowed
-            );
+            check_window(in_window, allowed)?;
         }
     }
     Ok(())
@@ -272,12 +273,7 @@
         let fraction = 0.12 + 0.88 * f64::from(round - 200) * 0.05 / 19.0;
         let in_window = sent.iter().filter(|at| **at <= round && **at + 30 > round).count() as f64;
         let allowed = 1.5 * fraction * capacity * 1.5;
-        prop_assert!(
-            in_window <= allowed,
-            "slow start: {} sent within a window, {} allowed",
-            in_window,
-            allowed
-        );
+        check_window(in_window, allowed)?;
     }
     Ok(())
 }
--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -4,7 +4,7 @@
 use super::*;
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::dispatcher::{Dispatcher, DispatcherOptions};
+use crate::dispatcher::Dispatcher;
 use crate::memory_budget::Budget;
 use crate::upstream::Upstream;
 use ottertiller_balancer::settings::millis;
@@ -105,7 +105,7 @@
         let (_address_changes, addresses) = watch_channel::channel(config.discovery);
         let upstream =
             Upstream::start(clock, crate::startup::upstream_options(&config), Budget::new(1 << 20));
-        let options = DispatcherOptions { settings: config.site.settings.clone(), seed: config.seed };
+        let options = crate::startup::dispatcher_options(&config);
         let mut node = Dispatcher::new(clock, options, upstream, messages.clone(), commands);
         let node = spawn_local(async move { node.run(&mut inbox).await });
         // The first call is not after a failed one: the failure lasts for so long from there.
--- a/crates/node/src/dispatcher_tests.rs
+++ b/crates/node/src/dispatcher_tests.rs
@@ -72,7 +72,7 @@
         let (discovery, _) = mpsc::channel(16);
         let budget = Budget::new(BUDGET);
         let upstream = Upstream::start(clock, crate::startup::upstream_options(config), budget.clone());
-        let options = DispatcherOptions { settings: config.site.settings.clone(), seed: config.seed };
+        let options = crate::startup::dispatcher_options(config);
         let dispatcher = Dispatcher::new(clock, options, upstream, messages.clone(), discovery);
         Host { dispatcher, inbox, peers: Peers { clock, messages, budget, last_id: Cell::new(0) } }
     }
--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -30,7 +30,7 @@
     stream: TcpStream,
     /// When the first bytes arrived since `Handle::reset_first_byte`.
     first_byte_at: Cell<Option<Instant>>,
-    /// What `Handle::left` has read and hyper has not asked for yet; `MAX_READ_BYTES` at most.
+    /// What `Handle::peer_closed` has read and hyper has not asked for yet; `MAX_READ_BYTES` at most.
     read_ahead: RefCell<Vec<u8>>,
 }
 
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -96,7 +96,8 @@
     }
 }
 
-fn dispatcher_options(config: &Config) -> DispatcherOptions {
+/// What the dispatcher takes from the configuration.
+pub fn dispatcher_options(config: &Config) -> DispatcherOptions {
     DispatcherOptions { settings: config.site.settings.clone(), seed: config.seed }
 }
 
--- a/crates/node/src/upstream/pool/waiters.rs
+++ b/crates/node/src/upstream/pool/waiters.rs
@@ -1,7 +1,6 @@
 //! The attempts that wait for a connection to one endpoint.
 
-use crate::upstream::pool::connection::CheckoutResult;
-use crate::upstream::pool::connection::Connection;
+use crate::upstream::pool::connection::{CheckoutResult, Connection};
 use ottertiller_balancer::Outcome;
 use std::collections::VecDeque;
 use tokio::sync::oneshot;
