Test that an open watch which ends is reopened at once

The old test of the same watch demanded that the call does not go out at once, so that nodes do not call together. Discovery works through calls one after another whatever their spacing, so the pause spreads nothing and costs every node the time; the new test demands the call at once, and a pause only where watches break again and again.

--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -10,8 +10,8 @@
 use ottertiller_balancer::settings::millis;
 use std::cell::RefCell;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpSocket;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
 /// What the kernel may take to hand on what one side wrote, in real time.
@@ -86,6 +86,34 @@
     }
 }
 
+/// A dispatcher and its discovery, until this is dropped.
+struct TestNode {
+    tasks: [JoinHandle<()>; 2],
+    _address_changes: watch_channel::Sender<SocketAddr>,
+}
+
+impl TestNode {
+    fn start(config: &Config) -> Self {
+        let clock = Clock::start();
+        let (messages, mut inbox) = mpsc::channel(64);
+        let (commands, discovery_commands) = mpsc::channel(16);
+        let (address_changes, addresses) = watch_channel::channel(config.discovery);
+        let upstream = Upstream::start(clock, crate::startup::upstream_options(config), Budget::new(1 << 20));
+        let options = crate::startup::dispatcher_options(config);
+        let mut dispatcher = Dispatcher::new(clock, options, upstream, messages.clone(), commands);
+        let dispatcher = spawn_local(async move { dispatcher.run(&mut inbox).await });
+        let discovery = Discovery::new(crate::startup::discovery_options(config), messages);
+        let discovery = spawn_local(discovery.run(discovery_commands, addresses));
+        TestNode { tasks: [dispatcher, discovery], _address_changes: address_changes }
+    }
+}
+
+impl Drop for TestNode {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
 /// How long a node goes without the list once discovery can be reached, after a failure of that length.
 fn time_without_list(
     mode: &str,
@@ -99,24 +127,12 @@
         let socket = TcpSocket::new_v4().expect("a socket");
         socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
         let config = config(socket.local_addr().expect("its address"), mode, poll_interval, seed);
-        let clock = Clock::start();
-        let (messages, mut inbox) = mpsc::channel(64);
-        let (commands, discovery_commands) = mpsc::channel(16);
-        let (_address_changes, addresses) = watch_channel::channel(config.discovery);
-        let upstream =
-            Upstream::start(clock, crate::startup::upstream_options(&config), Budget::new(1 << 20));
-        let options = crate::startup::dispatcher_options(&config);
-        let mut node = Dispatcher::new(clock, options, upstream, messages.clone(), commands);
-        let node = spawn_local(async move { node.run(&mut inbox).await });
         // The first call is not after a failed one: the failure lasts for so long from there.
         let first = Duration::from_secs(1)
             + if mode == "ask" { millis(poll_interval as f64) / 4 } else { Duration::ZERO };
         let reachable = Instant::now() + first + length;
         let peer = spawn_local(run_discovery(socket, failure, reachable));
-        let discovery = spawn_local(
-            Discovery::new(crate::startup::discovery_options(&config), messages)
-                .run(discovery_commands, addresses),
-        );
+        let _node = TestNode::start(&config);
         // Time moves on by no more than this without the kernel having had a moment to hand on what it has.
         spawn_local(async {
             loop {
@@ -125,8 +141,6 @@
             }
         });
         let listed = peer.await.expect("discovery's part");
-        node.abort();
-        discovery.abort();
         listed - reachable
     })
 }
@@ -150,3 +164,31 @@
         }
     });
 }
+
+/// A watch that is open ends in place of a change; returns how long the node takes for its next call.
+fn time_without_watch(mode: &str, poll_interval: u64) -> Duration {
+    const WATCH_LENGTH: Duration = Duration::from_millis(1500);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let config = config(listener.local_addr().expect("its address"), mode, poll_interval, 7);
+        let _node = TestNode::start(&config);
+        let (mut watch, _) = listener.accept().await.expect("a call");
+        let list = format!("HTTP/1.1 200 OK\r\n\r\n{LISTED}");
+        watch.write_all(list.as_bytes()).await.expect("a node");
+        sleep(WATCH_LENGTH).await;
+        drop(watch);
+        let ended = Instant::now();
+        listener.accept().await.expect("a call");
+        ended.elapsed()
+    })
+}
+
+/// Far less than discovery needs for one call, while the calls of all nodes wait on one another.
+#[test]
+fn a_watch_that_ends_is_reopened_at_once() {
+    for (mode, poll_interval) in [("push", 10_000), ("ask", 4_000), ("ask", 10_000), ("ask", 120_000)] {
+        let without = time_without_watch(mode, poll_interval);
+        assert!(without < Duration::from_millis(5), "{mode} {poll_interval}: {without:?}");
+    }
+}
