Reopen a watch at once when it ends after having been open

EndpointPolling::on_failure backed off from the moment of the break.

Change: where the list is asked for, the wait after a broken subscription counts from the call that opened it, and a call that is due goes out with the event itself, not with the next check; a call that failed backs off as before. Where it is pushed, no pause follows a call that lasted over 1 s. The test now lets the watch be open for 1 s first: calls keep their spacing.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -104,7 +104,7 @@
             self.start(actions);
         }
         match event {
-            Event::EndpointList { kind, entries } => self.on_endpoint_list(kind, entries),
+            Event::EndpointList { kind, entries } => self.on_endpoint_list(kind, entries, actions),
             Event::Request(request) => self.on_request(request, actions),
             Event::StreamStarted { id, .. } => self.on_stream_started(id),
             Event::AttemptEnded(end) => self.on_attempt_ended(end, actions),
@@ -137,16 +137,23 @@
     // The endpoint list.
 
     fn poll_endpoints(&mut self, actions: &mut Vec<Action>) {
+        self.subscribe_if_due(actions);
+        let after = self.polling.check_interval();
+        actions.push(Action::SetTimer { after, token: POLLING_TIMER });
+    }
+
+    fn subscribe_if_due(&mut self, actions: &mut Vec<Action>) {
         if self.polling.call_is_due(self.now) {
             actions.push(Action::Subscribe { enabled: true });
         }
-        let after = self.polling.check_interval();
-        actions.push(Action::SetTimer { after, token: POLLING_TIMER });
     }
 
-    fn on_endpoint_list(&mut self, kind: ListKind, entries: Vec<EndpointEntry>) {
+    fn on_endpoint_list(&mut self, kind: ListKind, entries: Vec<EndpointEntry>, actions: &mut Vec<Action>) {
         match kind {
-            ListKind::Failed => return self.polling.on_failure(self.now, &mut self.random),
+            ListKind::Failed => {
+                self.polling.on_failure(self.now, &mut self.random);
+                return self.subscribe_if_due(actions);
+            }
             ListKind::Cached => {}
             ListKind::Delta | ListKind::Snapshot => self.polling.on_list(),
         }
--- a/crates/balancer/src/endpoint_polling.rs
+++ b/crates/balancer/src/endpoint_polling.rs
@@ -4,8 +4,9 @@
 use crate::arithmetic::Random;
 use std::time::Duration;
 
-/// The first wait after a failed call. A node is taken to know of a change 6 s after the watch that missed it
-/// fell silent, and most of that passes before the silence is noticed.
+/// The first wait after a failed call, and the least time between a call and the one after the watch that it
+/// opened has broken. A node is taken to know of a change 6 s after the watch that missed it fell silent, and
+/// most of that passes before the silence is noticed.
 const FIRST_BACKOFF: Duration = Duration::from_millis(500);
 /// The longest wait after a failed call. A node is taken to know of a change 6 s after discovery is reachable
 /// again, however long the poll interval is, and a call that is not answered takes most of that.
@@ -20,6 +21,7 @@
     interval: Duration,
     /// When to call next; `None` while subscribed.
     next_call: Option<Duration>,
+    last_call: Duration,
     backoff: Duration,
 }
 
@@ -27,7 +29,7 @@
     /// Before the first call.
     pub fn new(settings: &Settings) -> Self {
         let interval = settings.rules.poll_interval;
-        EndpointPolling { interval, next_call: None, backoff: Duration::ZERO }
+        EndpointPolling { interval, next_call: None, last_call: Duration::ZERO, backoff: Duration::ZERO }
     }
 
     /// Schedules the first call of a node that has just started.
@@ -39,6 +41,7 @@
     pub fn call_is_due(&mut self, now: Duration) -> bool {
         let due = self.next_call.is_some_and(|at| now >= at);
         if due {
+            self.last_call = now;
             self.next_call = Some(now + CALL_TIMEOUT.min(self.interval / 2));
         }
         due
@@ -49,13 +52,18 @@
         (self.interval / 64).min(FIRST_BACKOFF / 2)
     }
 
-    /// A call failed or the subscription broke: calls again after an exponential backoff with jitter.
+    /// A call failed: calls again after an exponential backoff with jitter. If the subscription broke, the wait
+    /// counts from the call that opened it: a watch may end in place of a change, and discovery works through the
+    /// calls of all nodes one after the other, so that none of the time until the change counts as known is there
+    /// to be waited out.
     pub fn on_failure(&mut self, now: Duration, random: &mut Random) {
+        let was_subscribed = self.next_call.is_none();
+        let wait_from = if was_subscribed { self.last_call } else { now };
         let shortest = FIRST_BACKOFF.min(self.interval / 16);
         let longest = MAX_BACKOFF.min(self.interval / 2);
         self.backoff = (2 * self.backoff).clamp(shortest, longest);
         let jitter = 0.5 + random.unit() / 2.0;
-        self.next_call = Some(now + self.backoff.mul_f64(jitter));
+        self.next_call = Some(wait_from + self.backoff.mul_f64(jitter));
     }
 
     /// Discovery answered.
--- a/crates/balancer/tests/decisions/endpoint_list.rs
+++ b/crates/balancer/tests/decisions/endpoint_list.rs
@@ -51,6 +51,7 @@
             node.update_endpoints(ListKind::Cached, vec![entry(0)]);
             node.advance(ms(interval / 2));
             node.update_endpoints(ListKind::Snapshot, vec![entry(0)]);
+            node.advance(ms(1000)); // longer than the least time between two calls
             let polls = |node: &NodeSimulation| {
                 node.actions.iter().filter(|a| matches!(a, Action::Subscribe { enabled: true })).count()
             };
--- a/crates/node/src/discovery/backoff.rs
+++ b/crates/node/src/discovery/backoff.rs
@@ -32,13 +32,14 @@
         self.pause = MIN_PAUSE;
     }
 
-    /// The pause after a call that has failed after so long: one that lasted was a success first.
+    /// The pause after a call that has failed after so long. One that lasted was a success first: its watch may have
+    /// ended in place of a change, so that the next call follows at once.
     pub fn next_pause(&mut self, lasted: Duration) -> Duration {
         if lasted > MAX_PAUSE {
             self.reset();
-        } else {
-            self.pause = (self.pause * 2).min(self.max_pause);
+            return Duration::ZERO;
         }
+        self.pause = (self.pause * 2).min(self.max_pause);
         self.jittered_pause()
     }
 
