--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -137,3 +137,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "client_tests.rs"]
+mod tests;
--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -10,7 +10,7 @@
 use ottertiller_balancer::settings::millis;
 use std::cell::RefCell;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
@@ -32,17 +32,29 @@
     TruncatedList,
     /// A complete list, and then nothing: the watch falls silent.
     SilentWatch,
+    /// The headers late, and then a list of which a byte comes from time to time, and which never gets whole.
+    DrippingList,
+    /// A complete list, and then a change that never gets whole.
+    DrippingChange,
 }
 
-const FAILURES: [Failure; 6] = [
+const FAILURES: [Failure; 8] = [
     Failure::Refused,
     Failure::Answered503,
     Failure::Reset,
     Failure::Stalled,
     Failure::TruncatedList,
     Failure::SilentWatch,
+    Failure::DrippingList,
+    Failure::DrippingChange,
 ];
 
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
 fn config(address: SocketAddr, mode: &str, poll_interval: u64, seed: u64) -> Config {
     let text = format!(
         r#"{{"listen":"127.0.0.1:0","discovery":"{address}","seed":"{seed:x}",
@@ -54,6 +66,20 @@
     Config::parse(&text).expect("good")
 }
 
+/// Sends the start of a response after a delay, and then a list byte by byte, for as long as it is read but for half a
+/// minute at the most.
+async fn drip(mut stream: TcpStream, start: &str, delay: Duration) {
+    sleep(delay).await;
+    let mut sent = stream.write_all(start.as_bytes()).await;
+    for _ in 0..30 {
+        sleep(Duration::from_secs(1)).await;
+        sent = sent.and(stream.write_all(chunk("{").as_bytes()).await);
+        if sent.is_err() {
+            return;
+        }
+    }
+}
+
 /// Calls that come before `reachable` fail, later ones get the list: returns when the first has.
 async fn run_discovery(socket: TcpSocket, failure: Failure, reachable: Instant) -> Instant {
     let open = RefCell::new(Vec::new()); // what is stalled stays open
@@ -65,8 +91,6 @@
         let (mut stream, _) = listener.accept().await.expect("a call");
         let mut read = [0; 1024];
         assert!(stream.read(&mut read).await.expect("a head") > 0);
-        const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-        let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
         let response = if Instant::now() >= reachable {
             sleep(BUSY).await;
             stream.write_all(format!("{HEAD}{}", chunk(LISTED)).as_bytes()).await.expect("a node");
@@ -76,6 +100,16 @@
                 Failure::Answered503 => "HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n".to_owned(),
                 Failure::TruncatedList => format!("{HEAD}{}", chunk(&LISTED[..20])),
                 Failure::SilentWatch => format!("{HEAD}{}", chunk(LISTED)),
+                Failure::DrippingList => {
+                    spawn_local(drip(stream, HEAD, Duration::from_millis(3800)));
+                    continue;
+                }
+                Failure::DrippingChange => {
+                    spawn_local(async move {
+                        drip(stream, &(HEAD.to_owned() + &chunk(LISTED)), Duration::ZERO).await
+                    });
+                    continue;
+                }
                 Failure::Refused | Failure::Reset | Failure::Stalled => String::new(),
             }
         };
