Give a list from discovery one time limit, which bytes that trickle in do not extend

Change: ListDeadline runs from the call, or from whatever came whole before on the watch (a list or a heartbeat), over connecting, headers and list alike: 4 s, and up to 5.5 s while at least 16 KiB a second arrive. It holds for a watch that is opened, one that goes on and a fetch, in both list modes.

--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -1,14 +1,14 @@
 //! HTTP calls to discovery: fetching the endpoint list once, and watching it.
 
-use crate::discovery::framing::{ListFramer, ListTooLong, MAX_LIST_BYTES};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use crate::discovery::framing::{ListFramer, ListTooLong, MAX_LIST_BYTES, WatchLine};
+use crate::discovery::list_deadline::ListDeadline;
+use bytes::{Bytes, BytesMut};
+use http_body_util::Empty;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,10 +17,6 @@
 use tokio::time::timeout;
 
 const LIST_PATH: &str = "/registry/instances";
-/// A watch sends something every 2 s; one that is silent for so long is broken, whatever TCP says. What it misses
-/// counts as known 6 s after it fell silent, and what a call misses 6 s after discovery can be reached again: by then
-/// the next list has to be in, with the pause before that call, its jitter and the call itself.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Why a call to discovery failed.
 #[derive(Debug, thiserror::Error)]
@@ -41,8 +37,6 @@
     Http(#[from] hyper::Error),
     #[error(transparent)]
     InvalidRequest(#[from] hyper::http::Error),
-    #[error("{0}")]
-    Body(Box<dyn Error + Send + Sync>),
 }
 
 /// Calls discovery, with a connection for each call.
@@ -64,26 +58,32 @@
 
     /// The complete list, as text.
     pub async fn fetch_list(&self) -> Result<Bytes, ClientError> {
-        let call = self.get(LIST_PATH).await?;
-        let body = Limited::new(call.response.into_body(), MAX_LIST_BYTES).collect();
-        let body = timeout(SILENCE_TIMEOUT, body).await.map_err(|_| ClientError::Silent)?;
-        Ok(body.map_err(ClientError::Body)?.to_bytes())
+        let mut deadline = ListDeadline::start();
+        let call = deadline.limit_call(self.exchange(LIST_PATH)).await?;
+        let mut body = call.response.into_body();
+        let mut list = BytesMut::new();
+        while let Some(part) = deadline.next_part(&mut body).await? {
+            list.extend_from_slice(&part);
+            if list.len() > MAX_LIST_BYTES {
+                return Err(ListTooLong.into());
+            }
+        }
+        Ok(list.freeze())
     }
 
     /// Watches the list from the version that the node has.
     pub async fn watch(&self, version: u64) -> Result<Watch, ClientError> {
-        let call = self.get(&format!("{LIST_PATH}?stream=1&index={version}")).await?;
+        let deadline = ListDeadline::start();
+        let path = format!("{LIST_PATH}?stream=1&index={version}");
+        let call = deadline.limit_call(self.exchange(&path)).await?;
         Ok(Watch {
             body: call.response.into_body(),
             framer: ListFramer::default(),
+            deadline,
             _connection: call.connection,
         })
     }
 
-    async fn get(&self, path: &str) -> Result<Call, ClientError> {
-        timeout(SILENCE_TIMEOUT, self.exchange(path)).await.map_err(|_| ClientError::Silent)?
-    }
-
     async fn exchange(&self, path: &str) -> Result<Call, ClientError> {
         let connected = timeout(self.connect_timeout, TcpStream::connect(self.address)).await;
         let stream = connected.map_err(|_| ClientError::ConnectTimeout)?.map_err(ClientError::Connect)?;
@@ -119,6 +119,8 @@
 pub struct Watch {
     body: Incoming,
     framer: ListFramer,
+    /// Of what comes next, a list or a heartbeat.
+    deadline: ListDeadline,
     _connection: Connection,
 }
 
@@ -126,13 +128,16 @@
     /// The text of the next list or change of the list.
     pub async fn next_list(&mut self) -> Result<Bytes, ClientError> {
         loop {
-            if let Some(list) = self.framer.next_list()? {
-                return Ok(list);
-            }
-            let frame = timeout(SILENCE_TIMEOUT, self.body.frame()).await.map_err(|_| ClientError::Silent)?;
-            let frame = frame.ok_or(ClientError::Ended)??;
-            if let Ok(data) = frame.into_data() {
-                self.framer.push(&data);
+            match self.framer.next_line()? {
+                Some(WatchLine::List(list)) => {
+                    self.deadline = ListDeadline::start();
+                    return Ok(list);
+                }
+                Some(WatchLine::Heartbeat) => self.deadline = ListDeadline::start(),
+                None => {
+                    let part = self.deadline.next_part(&mut self.body).await?.ok_or(ClientError::Ended)?;
+                    self.framer.push(&part);
+                }
             }
         }
     }
--- a/crates/node/src/discovery/framing.rs
+++ b/crates/node/src/discovery/framing.rs
@@ -12,6 +12,15 @@
 #[error("a list without end")]
 pub struct ListTooLong;
 
+/// What a watch sends.
+#[derive(Debug, PartialEq, Eq)]
+pub enum WatchLine {
+    /// A complete list, or what was sent instead of one and can't be parsed.
+    List(Bytes),
+    /// An empty line: nothing has changed.
+    Heartbeat,
+}
+
 /// Data that has arrived and is not yet a complete list.
 #[derive(Default)]
 pub struct ListFramer {
@@ -31,11 +40,11 @@
         self.unread.extend_from_slice(data);
     }
 
-    /// The next complete list, or what was sent instead of one and can't be parsed.
-    pub fn next_list(&mut self) -> Result<Option<Bytes>, ListTooLong> {
+    /// What has arrived whole and was not returned yet.
+    pub fn next_line(&mut self) -> Result<Option<WatchLine>, ListTooLong> {
         while let Some(line_end) = self.find_line_end() {
-            if let Some(list) = self.take_line(line_end) {
-                return Ok(Some(list));
+            if let Some(line) = self.take_line(line_end) {
+                return Ok(Some(line));
             }
         }
         if self.is_complete_without_line_end() {
@@ -54,8 +63,8 @@
         Some(search_start + line_feed? + 1)
     }
 
-    /// Goes on to the next line; returns the list if one has ended.
-    fn take_line(&mut self, line_end: usize) -> Option<Bytes> {
+    /// Goes on to the next line; returns what has ended with this one.
+    fn take_line(&mut self, line_end: usize) -> Option<WatchLine> {
         let line = &self.unread[self.line_start..line_end];
         let is_blank = line.trim_ascii().is_empty();
         let depth = bracket_depth(line);
@@ -67,7 +76,7 @@
         if is_blank {
             self.unread.advance(line_end);
             self.line_searched = 0;
-            return None;
+            return Some(WatchLine::Heartbeat);
         }
         self.line_start = line_end;
         self.line_searched = 0;
@@ -82,11 +91,11 @@
         ends_with_bracket && bracket_depth(line).is_some_and(|depth| self.open_brackets + depth == 0)
     }
 
-    fn split_list(&mut self, end: usize) -> Bytes {
+    fn split_list(&mut self, end: usize) -> WatchLine {
         self.line_start = 0;
         self.line_searched = 0;
         self.open_brackets = 0;
-        self.unread.split_to(end).freeze()
+        WatchLine::List(self.unread.split_to(end).freeze())
     }
 }
 
--- a/crates/node/src/discovery/framing_tests.rs
+++ b/crates/node/src/discovery/framing_tests.rs
@@ -5,8 +5,10 @@
     let (mut framer, mut found) = (ListFramer::default(), Vec::new());
     for piece in text.as_bytes().chunks(size) {
         framer.push(piece);
-        while let Some(list) = framer.next_list().expect("not long") {
-            found.push(String::from_utf8_lossy(list.trim_ascii()).into_owned());
+        while let Some(line) = framer.next_line().expect("not long") {
+            if let WatchLine::List(list) = line {
+                found.push(String::from_utf8_lossy(list.trim_ascii()).into_owned());
+            }
         }
     }
     found
@@ -40,6 +42,19 @@
     let piece = [b' '; 1 << 16];
     assert!((0..=MAX_LIST_BYTES >> 16).any(|_| {
         framer.push(&piece);
-        framer.next_list() == Err(ListTooLong)
+        framer.next_line() == Err(ListTooLong)
     }));
 }
+
+/// An empty line within a list is the end of that list, and says nothing of the watch.
+#[test]
+fn only_an_empty_line_between_lists_is_a_heartbeat() {
+    let heartbeats = |text: &str| {
+        let mut framer = ListFramer::default();
+        framer.push(text.as_bytes());
+        let lines = std::iter::from_fn(|| framer.next_line().expect("not long"));
+        lines.filter(|line| *line == WatchLine::Heartbeat).count()
+    };
+    assert_eq!(heartbeats(&format!("\n{ONE}\n\r\n{INDENTED}\n\n")), 3);
+    assert_eq!(heartbeats("{\n  \"index\": 4,\n"), 0);
+}
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod endpoint_list;
 mod framing;
+mod list_deadline;
 mod poll;
 mod readiness;
 mod watch;
