Test slow start under a wall clock that was stepped

Cause: StartingCapacity::at takes now - started, and started is a reading of a wall clock that may be stepped against the one this node read at its start.

--- a/crates/balancer/tests/fleet_slow_start.rs
+++ b/crates/balancer/tests/fleet_slow_start.rs
@@ -77,3 +77,27 @@
         assert!(share > 0.26, "factor {factor}: they served {share} of what they can");
     }
 }
+
+/// The wall clock from which starts are listed may be stepped by any amount: by the nodes' own clocks, the endpoints
+/// have started just now all the same.
+#[test]
+fn all_nodes_together_keep_to_slow_start_though_the_wall_clock_was_stepped() {
+    for clock_step_ms in [-60_000, -20_000, -6_000, -2_000, 3_600_000] {
+        for (nodes, endpoints, capacity, factor) in
+            [(3, 12, 100.0, 1.5), (30, 24, 100.0, 1.5), (30, 24, 100.0, 4.0)]
+        {
+            let settings = settings(factor);
+            let rate = 0.9 * endpoints as f64 * capacity;
+            let config =
+                FleetConfig { settings: &settings, nodes, endpoints, capacity, rate, seed: 1, faults: false };
+            let mut fleet = FleetSimulation::new(config);
+            fleet.clock_step_ms = clock_step_ms;
+            fleet.advance(ms(6000));
+            fleet.replace_endpoints(0..endpoints / 2, endpoints..endpoints + endpoints / 2);
+            fleet.advance(ms(10_000));
+            let overload = fleet.worst_overload();
+            let case = format!("{nodes} nodes, factor {factor}, clock stepped by {clock_step_ms} ms");
+            assert!(overload <= 0.0, "{case}: {overload} too many");
+        }
+    }
+}
--- a/crates/balancer/tests/simulation/fleet/mod.rs
+++ b/crates/balancer/tests/simulation/fleet/mod.rs
@@ -61,6 +61,8 @@
     pub requests: usize,
     pub served: usize,
     faults: bool,
+    /// By how much the clock that the listed times of starts are read from is ahead of the nodes' own, in milliseconds.
+    pub clock_step_ms: i64,
     digest: ActionDigest,
 }
 
@@ -77,6 +79,7 @@
             requests: 0,
             served: 0,
             faults: false,
+            clock_step_ms: 0,
             digest: ActionDigest::default(),
         };
         fleet.start_nodes(config.nodes, config.rate);
@@ -210,10 +213,19 @@
     }
 
     fn deliver_snapshot(&mut self, node: usize) {
-        let entries = self.endpoints.values().map(|endpoint| endpoint.entry).collect();
+        let entries = self.endpoints.values().map(|endpoint| self.listed(endpoint.entry)).collect();
         self.deliver(node, Event::EndpointList { kind: ListKind::Snapshot, entries });
     }
 
+    fn listed(&self, entry: EndpointEntry) -> EndpointEntry {
+        let step = Duration::from_millis(self.clock_step_ms.unsigned_abs());
+        let shift = |started: Duration| match self.clock_step_ms {
+            0.. => started + step,
+            _ => started.saturating_sub(step),
+        };
+        EndpointEntry { started: entry.started.map(shift), ..entry }
+    }
+
     fn deliver(&mut self, node: usize, event: Event) {
         let mut actions = Vec::new();
         self.nodes[node].balancer.handle(self.now, event, &mut actions);
