--- a/crates/balancer/src/endpoint_polling.rs
+++ b/crates/balancer/src/endpoint_polling.rs
@@ -29,7 +29,8 @@
     /// Before the first call.
     pub fn new(settings: &Settings) -> Self {
         let interval = settings.rules.poll_interval;
-        EndpointPolling { interval, next_call: None, last_call: Duration::ZERO, backoff: Duration::ZERO }
+        let (last_call, backoff) = (Duration::ZERO, Duration::ZERO);
+        EndpointPolling { interval, next_call: None, last_call, backoff }
     }
 
     /// Schedules the first call of a node that has just started.
