Bound an endpoint's age by what the node knows without the wall clock

Change: StartTimes, a decision of its own, gives the start of an endpoint on the node's own clock when it is first heard of or is listed with another start. A start in the future is now. From there on the age grows with the node's monotonic time.

--- a/crates/balancer/src/endpoint_polling.rs
+++ b/crates/balancer/src/endpoint_polling.rs
@@ -53,10 +53,10 @@
         (self.interval / 64).min(FIRST_BACKOFF / 2)
     }
 
-    /// A call failed: calls again after an exponential backoff with jitter. If the subscription broke, the wait
-    /// counts from the call that opened it: a watch may end in place of a change, and discovery works through the
-    /// calls of all nodes one after the other, so that none of the time until the change counts as known is there
-    /// to be waited out.
+    /// A call failed: calls again after an exponential backoff with jitter. If the subscription broke, the
+    /// wait counts from the call that opened it: a watch may end in place of a change, and discovery works
+    /// through the calls of all nodes one after the other, so that none of the time until the change counts
+    /// as known is there to be waited out.
     pub fn on_failure(&mut self, now: Duration, random: &mut Random) {
         let was_subscribed = self.next_call.is_none();
         let wait_from = if was_subscribed { self.last_call } else { now };
--- a/crates/balancer/src/endpoint_set.rs
+++ b/crates/balancer/src/endpoint_set.rs
@@ -5,6 +5,7 @@
 use crate::routing::permit::Permit;
 use crate::routing::ring::Ring;
 use crate::routing::send_count::SendCount;
+use crate::routing::start_time::StartTimes;
 use crate::{EndpointEntry, EndpointId, EndpointState, ListKind, Settings};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -14,6 +15,8 @@
 pub struct Endpoint {
     /// Its entry in the endpoint list.
     pub entry: EndpointEntry,
+    /// When it started, on this node's own clock; `None` if long ago.
+    pub started: Option<Duration>,
     /// This node's attempts in flight.
     pub in_flight: u32,
     /// Whether a health check is in flight.
@@ -32,12 +35,20 @@
 pub struct EndpointSet {
     by_id: BTreeMap<EndpointId, Endpoint>,
     ready: Ring,
+    start_times: StartTimes,
+    /// Whether any list has had endpoints: what appears after that was absent before.
+    has_listed: bool,
 }
 
 impl EndpointSet {
     /// No endpoints yet.
     pub fn new(settings: &Settings) -> Self {
-        EndpointSet { by_id: BTreeMap::new(), ready: Ring::new(settings) }
+        EndpointSet {
+            by_id: BTreeMap::new(),
+            ready: Ring::new(settings),
+            start_times: StartTimes::new(&settings.rules),
+            has_listed: false,
+        }
     }
 
     /// A listed endpoint.
@@ -75,12 +86,14 @@
     /// Takes in entries of the list. Endpoints that are new or have restarted get the send count `new_count`.
     pub fn apply(&mut self, kind: ListKind, entries: Vec<EndpointEntry>, new_count: u32, now: Duration) {
         let is_whole_list = kind != ListKind::Delta;
+        let was_absent = self.has_listed;
+        self.has_listed |= !entries.is_empty();
         if is_whole_list {
             self.by_id.values_mut().for_each(|endpoint| endpoint.entry.state = EndpointState::Removed);
             self.ready.clear();
         }
         for entry in entries {
-            self.apply_entry(entry, new_count, now);
+            self.apply_entry(entry, new_count, was_absent, now);
             match entry.state {
                 EndpointState::Ready => self.ready.insert(entry.id),
                 EndpointState::Draining | EndpointState::Removed => self.ready.remove(entry.id),
@@ -91,7 +104,7 @@
         }
     }
 
-    fn apply_entry(&mut self, entry: EndpointEntry, new_count: u32, now: Duration) {
+    fn apply_entry(&mut self, entry: EndpointEntry, new_count: u32, was_absent: bool, now: Duration) {
         let known = self.by_id.remove(&entry.id).unwrap_or_default();
         if entry.state == EndpointState::Removed {
             return;
@@ -102,6 +115,7 @@
         } else {
             Endpoint {
                 entry,
+                started: self.start_times.of(&entry, was_absent, now),
                 in_flight: known.in_flight,
                 sends: SendCount::starting_at(new_count),
                 permit: Permit::none(now),
--- a/crates/balancer/src/routing/mod.rs
+++ b/crates/balancer/src/routing/mod.rs
@@ -5,5 +5,6 @@
 pub mod ring;
 pub mod send_count;
 pub mod slow_start;
+pub mod start_time;
 pub mod starting_capacity;
 pub mod subset;
--- a/crates/balancer/src/routing/slow_start.rs
+++ b/crates/balancer/src/routing/slow_start.rs
@@ -11,6 +11,7 @@
 use crate::estimates::EndpointShare;
 use crate::routing::permit::Permit;
 use crate::routing::starting_capacity::StartingCapacity;
+use crate::settings::Rules;
 use crate::{EndpointId, Settings};
 use std::time::Duration;
 
@@ -22,6 +23,11 @@
 /// Requests of more than this multiple of the mean work go to warm endpoints only.
 const MAX_RELATIVE_WORK: f64 = 2.0;
 
+/// The load on a starting endpoint, as a multiple of the capacity that it has for certain.
+pub fn load_factor(rules: &Rules) -> f64 {
+    (rules.overload_factor * USED_OVERLOAD).min(MAX_OVERLOAD)
+}
+
 /// Issues the permits of starting endpoints.
 pub struct SlowStart {
     capacity: StartingCapacity,
@@ -38,7 +44,7 @@
         let rules = &settings.rules;
         SlowStart {
             capacity: StartingCapacity::new(rules),
-            load_factor: (rules.overload_factor * USED_OVERLOAD).min(MAX_OVERLOAD),
+            load_factor: load_factor(rules),
             permit_lifetime: rules.overload_window / 2,
             share: EndpointShare::new(settings),
         }
--- a/crates/balancer/src/routing/starting_capacity.rs
+++ b/crates/balancer/src/routing/starting_capacity.rs
@@ -1,4 +1,5 @@
-//! The capacity of an endpoint after its start, as far as rule 4 makes it certain (settings keys `ColdFrom` and
+//! The capacity of an endpoint after its start, as far as rule 4 makes it certain (settings keys `ColdFrom`
+//! and
 //! `RampTime`): it grows evenly from the initial share to the whole.
 
 use crate::endpoint_set::Endpoint;
@@ -21,7 +22,7 @@
 
     /// The fraction of its capacity that the endpoint has for certain.
     pub fn at(&self, endpoint: &Endpoint, now: Duration) -> f64 {
-        let Some(started) = endpoint.entry.started else { return 1.0 };
+        let Some(started) = endpoint.started else { return 1.0 };
         let age = now.saturating_sub(started).as_secs_f64();
         let grown = age / self.window.max(1e-6);
         (self.initial + (1.0 - self.initial) * grown).min(1.0)
