Test what a failed accept does to connections that have not failed

Cause: Acceptor::accept evicts a connection on any error, and connections that never sent a request first. The listener is a trait now, so that it can be scripted; behaviour is unchanged.

--- a/crates/node/src/downstream/listener.rs
+++ b/crates/node/src/downstream/listener.rs
@@ -2,6 +2,7 @@
 
 use super::server::Server;
 use crate::logging::log_peer;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -10,18 +11,31 @@
 /// How long to wait after a failed accept, and before evicting another connection.
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Where connections are accepted.
+pub trait Listener {
+    /// Accepts one connection. May be cancelled, and loses none then.
+    async fn accept(&mut self) -> io::Result<TcpStream>;
+}
+
+impl Listener for TcpListener {
+    async fn accept(&mut self) -> io::Result<TcpStream> {
+        let (stream, _) = TcpListener::accept(self).await?;
+        Ok(stream)
+    }
+}
+
 /// Accepts connections and hands them to the server.
-pub struct Acceptor {
-    listener: TcpListener,
+pub struct Acceptor<L> {
+    listener: L,
     server: Rc<Server>,
     /// An accepted connection that waits until the registry is not full. It survives the cancellation of
     /// [`Self::run`], since its client may have sent a request already.
     pending: Option<TcpStream>,
 }
 
-impl Acceptor {
+impl<L: Listener> Acceptor<L> {
     /// An acceptor for the listener's connections.
-    pub fn new(listener: TcpListener, server: Rc<Server>) -> Self {
+    pub fn new(listener: L, server: Rc<Server>) -> Self {
         Acceptor { listener, server, pending: None }
     }
 
@@ -42,7 +56,7 @@
     /// closes the listener. Clients may have sent requests on queued connections, which closing would reset.
     pub async fn finish(mut self) {
         self.serve_pending();
-        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, self.listener.accept()).await {
+        while let Ok(Ok(stream)) = timeout(Duration::ZERO, self.listener.accept()).await {
             self.server.serve(stream);
         }
     }
@@ -50,7 +64,7 @@
     /// Accepts one connection. Failures are temporary: no descriptor is free, or the client has disconnected already.
     async fn accept(&mut self) {
         match self.listener.accept().await {
-            Ok((stream, _)) => self.pending = Some(stream),
+            Ok(stream) => self.pending = Some(stream),
             Err(error) => {
                 log_peer(format_args!("cannot accept: {error}"));
                 self.server.registry().evict_one();
@@ -73,3 +87,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "listener_tests.rs"]
+mod tests;
--- a/crates/node/src/downstream/mod.rs
+++ b/crates/node/src/downstream/mod.rs
@@ -23,7 +23,7 @@
 use crate::memory_budget::Budget;
 use crate::message::Message;
 use handler::RequestHandler;
-use listener::Acceptor;
+use listener::{Acceptor, Listener};
 use phase::Phase;
 use registry::ConnectionRegistry;
 use server::Server;
@@ -82,7 +82,7 @@
     }
 
     /// Shuts down gracefully: whatever has been accepted is still served.
-    async fn drain(&self, mut acceptor: Acceptor) {
+    async fn drain(&self, mut acceptor: Acceptor<impl Listener>) {
         self.phase.set(Phase::Draining);
         let _ = timeout(ACCEPT_WHILE_DRAINING, acceptor.run()).await;
         acceptor.finish().await;
