Evict for a failed accept only where this process is out of descriptors, new clients last

Change: a failed accept is told apart by its error. EMFILE closes an idle connection; a failure of the one connection to be accepted goes on at once; ENFILE, ENOBUFS, ENOMEM and what is not documented wait. Of idle connections, those that said nothing for 0.1 s after the accept go first, then those that were served (a request that crosses their end is sent again), and those just accepted last. In the same way the last accepts of a shutdown ended with the first failure and reset the queue: they go on, with a test of its own, written with the mend.

--- a/crates/node/src/downstream/connection.rs
+++ b/crates/node/src/downstream/connection.rs
@@ -9,6 +9,8 @@
 /// How long a client may take from the accept, or from the first byte of a later request, to the last byte of that
 /// request. With the interval at which timeouts are enforced, a slow client is closed within 3 s.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long the first request of a client that sends it at once may be on its way after the accept.
+const FIRST_REQUEST_DELAY: Duration = Duration::from_millis(100);
 /// How long a connection without a request is kept: its client may send another.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// How long a client may take to end a connection that is closing.
@@ -25,14 +27,25 @@
     Closing { since: Instant },
 }
 
-/// The order in which idle connections are evicted: first those that never sent a request, then those that have been
-/// idle for longest. So a crowd of silent clients does not displace those that are served.
+/// The order in which idle connections are evicted.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EvictionRank {
-    has_sent_request: bool,
+    kind: IdleKind,
     idle_since: Instant,
 }
 
+/// Whose loss costs least comes first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum IdleKind {
+    /// Has sent nothing for a while since it was accepted. So a crowd of silent clients does not displace those that
+    /// are served.
+    Silent,
+    /// Has been served before: a request that crosses its end is sent again on a new connection.
+    Served,
+    /// Has just been accepted: its first request may be on its way, and would be lost.
+    New,
+}
+
 /// A client's connection.
 pub struct Connection {
     socket: Handle,
@@ -142,12 +155,22 @@
     pub fn eviction_rank(&self) -> Option<EvictionRank> {
         match self.state.get() {
             State::Idle { since } if self.socket.first_byte_at().is_none() => {
-                Some(EvictionRank { has_sent_request: self.has_sent_request.get(), idle_since: since })
+                Some(EvictionRank { kind: self.idle_kind(), idle_since: since })
             }
             State::Idle { .. } | State::Serving | State::Closing { .. } => None,
         }
     }
 
+    fn idle_kind(&self) -> IdleKind {
+        if self.has_sent_request.get() {
+            IdleKind::Served
+        } else if self.accepted.elapsed() < FIRST_REQUEST_DELAY {
+            IdleKind::New
+        } else {
+            IdleKind::Silent
+        }
+    }
+
     /// Whether the kernel has no unread bytes for this connection. Takes a system call.
     pub fn has_nothing_to_read(&self) -> bool {
         self.socket.has_nothing_to_read()
--- a/crates/node/src/downstream/listener.rs
+++ b/crates/node/src/downstream/listener.rs
@@ -2,15 +2,50 @@
 
 use super::server::Server;
 use crate::logging::log_peer;
+use rustix::io::Errno;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
 /// How long to wait after a failed accept, and before evicting another connection.
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
+/// What a failed accept means for the connections that there are. Linux documents the errors in accept(2).
+enum AcceptFailure {
+    /// This process has no descriptor left: closing a connection helps.
+    OutOfDescriptors,
+    /// The system is short of something that is not this process's to free.
+    SystemResources,
+    /// The connection to be accepted has failed, or the call was interrupted. The next one may succeed.
+    OneConnection,
+}
+
+impl AcceptFailure {
+    fn of(error: &io::Error) -> Self {
+        match Errno::from_io_error(error) {
+            Some(Errno::MFILE) => AcceptFailure::OutOfDescriptors,
+            Some(
+                Errno::CONNABORTED
+                | Errno::INTR
+                | Errno::PROTO
+                | Errno::NETDOWN
+                | Errno::NOPROTOOPT
+                | Errno::HOSTDOWN
+                | Errno::NONET
+                | Errno::HOSTUNREACH
+                | Errno::OPNOTSUPP
+                | Errno::NETUNREACH
+                | Errno::TIMEDOUT,
+            ) => AcceptFailure::OneConnection,
+            // ENFILE, ENOBUFS, ENOMEM, and what is not documented.
+            _ => AcceptFailure::SystemResources,
+        }
+    }
+}
+
 /// Where connections are accepted.
 pub trait Listener {
     /// Accepts one connection. May be cancelled, and loses none then.
@@ -24,6 +59,9 @@
     }
 }
 
+/// How often in a row accepting the last connections may fail: closing the listener resets those that are left.
+const MAX_LAST_FAILURES: u32 = 16;
+
 /// Accepts connections and hands them to the server.
 pub struct Acceptor<L> {
     listener: L,
@@ -56,21 +94,40 @@
     /// closes the listener. Clients may have sent requests on queued connections, which closing would reset.
     pub async fn finish(mut self) {
         self.serve_pending();
-        while let Ok(Ok(stream)) = timeout(Duration::ZERO, self.listener.accept()).await {
-            self.server.serve(stream);
+        let mut failures = 0;
+        while failures < MAX_LAST_FAILURES {
+            match timeout(Duration::ZERO, self.listener.accept()).await {
+                Ok(Ok(stream)) => {
+                    self.server.serve(stream);
+                    failures = 0;
+                }
+                Ok(Err(error)) => {
+                    self.recover(error).await;
+                    failures += 1;
+                }
+                Err(_) => return,
+            }
         }
     }
 
-    /// Accepts one connection. Failures are temporary: no descriptor is free, or the client has disconnected already.
+    /// Accepts one connection. All failures are temporary.
     async fn accept(&mut self) {
         match self.listener.accept().await {
             Ok(stream) => self.pending = Some(stream),
-            Err(error) => {
-                log_peer(format_args!("cannot accept: {error}"));
-                self.server.registry().evict_one();
-                sleep(RETRY_INTERVAL).await;
-            }
+            Err(error) => self.recover(error).await,
+        }
+    }
+
+    /// Does what helps against a failure, and waits as long as it needs.
+    async fn recover(&self, error: io::Error) {
+        log_peer(format_args!("cannot accept: {error}"));
+        match AcceptFailure::of(&error) {
+            // A turn of the loop for the others, should the next ones have failed as well.
+            AcceptFailure::OneConnection => return yield_now().await,
+            AcceptFailure::OutOfDescriptors => self.server.registry().evict_one(),
+            AcceptFailure::SystemResources => {}
         }
+        sleep(RETRY_INTERVAL).await;
     }
 
     async fn wait_for_capacity(&self) {
--- a/crates/node/src/downstream/listener_tests.rs
+++ b/crates/node/src/downstream/listener_tests.rs
@@ -165,3 +165,34 @@
         assert!(!ask(&mut silent).await, "the silent one was to be closed");
     });
 }
+
+/// At the shutdown the connections in the queue are accepted once more, and the listener closes.
+#[test]
+fn a_failed_accept_does_not_close_the_listener_on_the_connections_in_its_queue() {
+    const CLIENTS: u32 = 5;
+    for errno in [Errno::CONNABORTED, Errno::NFILE] {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+        LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("its address");
+            let mut clients = Vec::new();
+            for _ in 0..CLIENTS {
+                clients.push(connect(address).await);
+            }
+            let count = Rc::new(Cell::new(0));
+            let failing = FailingListener {
+                listener,
+                errno,
+                failures_each: Rc::new(Cell::new(3)),
+                failures_left: 0,
+                waiting: None,
+                failures: count.clone(),
+            };
+            Acceptor::new(failing, server()).finish().await;
+            for client in &mut clients {
+                assert!(ask(client).await, "{errno:?}: a client in the queue was closed with no answer");
+            }
+            assert_eq!(count.get(), CLIENTS * 3);
+        });
+    }
+}
