--- a/crates/node/tests/node/forwarding.rs
+++ b/crates/node/tests/node/forwarding.rs
@@ -46,6 +46,46 @@
     }
 }
 
+/// Such a response ends with its connection (RFC 9112, section 6.3).
+#[test]
+fn a_response_without_a_length_is_whole_if_its_connection_is_closed_in_order() {
+    for head in
+        ["HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n"]
+    {
+        for length in [0, 5, 64 * 1024] {
+            let body = vec![b'x'; length];
+            let whole = [head.as_bytes(), &body].concat();
+            let endpoint = ScriptedEndpoint::start(move |_| ScriptedReply::CloseAfter(whole.clone()));
+            let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&endpoint]);
+            let mut client = node.client();
+            for _ in 0..2 {
+                let response = client.request_correct();
+                assert_eq!(response.status(), 200, "{head:?} and {length} bytes");
+                assert_eq!(response.body, body);
+            }
+        }
+    }
+}
+
+/// A reset is no end, and neither is a body longer than any may be; the request may have run.
+#[test]
+fn a_response_without_a_length_that_is_reset_or_too_long_has_failed() {
+    const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\n\r\n";
+    let endings: [fn() -> ScriptedReply; 2] = [
+        || ScriptedReply::ResetAfter([HEAD, b"half"].concat()),
+        || ScriptedReply::CloseAfter([HEAD, &[b'x'; 64 * 1024 + 1]].concat()),
+    ];
+    for (i, ending) in endings.into_iter().enumerate() {
+        for _ in 0..5 {
+            let (one, two) = endpoint_pair_with_first_reply(ending);
+            let (node, _watch, _discovery) = start_node(&settings(LONG_MS, ""), &[&one, &two]);
+            let response = node.client().request_correct();
+            assert!(![200, 429, 503].contains(&response.status()), "case {i}: {response:?}");
+            assert_eq!(one.request_count() + two.request_count(), 1, "case {i}");
+        }
+    }
+}
+
 #[test]
 fn a_request_that_never_ran_is_retried_even_if_it_is_not_idempotent() {
     for status in ["503 Full", "504 Over"] {
--- a/crates/node/tests/node/support/endpoint.rs
+++ b/crates/node/tests/node/support/endpoint.rs
@@ -2,12 +2,14 @@
 
 use super::TEST_TIMEOUT;
 use super::message::{Message, read_message};
+use socket2::SockRef;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread::spawn;
+use std::time::Duration;
 
 /// What a scripted endpoint does with a request.
 pub enum ScriptedReply {
@@ -15,6 +17,8 @@
     Response(&'static str, &'static str, Vec<u8>),
     /// These bytes, and then the connection closes.
     CloseAfter(Vec<u8>),
+    /// These bytes, and then the connection is reset.
+    ResetAfter(Vec<u8>),
     /// These bytes, and the connection stays open.
     Raw(&'static [u8]),
     /// Nothing, for as long as the node waits.
@@ -113,6 +117,11 @@
                 let _ = writer.shutdown(Shutdown::Both);
                 break;
             }
+            ScriptedReply::ResetAfter(bytes) => {
+                let _ = writer.write_all(&bytes);
+                SockRef::from(&writer).set_linger(Some(Duration::ZERO)).expect("a reset at its close");
+                break;
+            }
             ScriptedReply::Raw(bytes) => drop(writer.write_all(bytes)),
             ScriptedReply::NoResponse => {}
         }
