Take in responses without a length that end with an orderly close

Change: a response without a length is read to the end of its connection, up to 64 KiB, and that connection is not used again; a reset on the way is a failure that may have run, as before. What is too long is logged as such.

--- a/crates/node/src/upstream/response.rs
+++ b/crates/node/src/upstream/response.rs
@@ -50,23 +50,26 @@
 /// Why a response was dropped unread.
 #[derive(Debug, thiserror::Error)]
 enum Unreadable {
-    #[error("endpoint {:x}: response without a length or too long: dropped", .0.0)]
-    Length(EndpointId),
+    #[error("endpoint {:x}: response too long: dropped", .0.0)]
+    TooLong(EndpointId),
     #[error("memory budget exhausted: response dropped")]
     OutOfMemory,
 }
 
 impl Upstream {
     /// Reads a response to its end, so that one that breaks off is an outcome like others and the client never gets
-    /// half of it.
+    /// half of it. One without a length ends with its connection: whole if that is closed in order, and broken off if it
+    /// is reset.
     pub(super) async fn read_response(
         &self,
         connection: Connection,
         response: Response<Incoming>,
     ) -> ReceivedResponse {
         let (head, body) = response.into_parts();
+        let ends_with_connection =
+            body.size_hint().exact().is_none() && !head.headers.contains_key(TRANSFER_ENCODING);
         let report = self.load_reports.parse_headers(&head.headers);
-        let lease = match self.lease_for_body(connection.endpoint, &head.headers, &body) {
+        let lease = match self.lease_for_body(connection.endpoint, &body) {
             Ok(lease) => lease,
             Err(error) => {
                 log_peer(error);
@@ -84,25 +87,18 @@
         };
         let outcome = outcome_of_status(head.status, &head.headers);
         let body = (outcome == Outcome::Served).then_some(body);
-        ReceivedResponse { result: ExchangeResult { outcome, report, body }, connection: Some(connection) }
+        let connection = (!ends_with_connection).then_some(connection);
+        ReceivedResponse { result: ExchangeResult { outcome, report, body }, connection }
     }
 
     /// Room in memory for a response's body.
-    fn lease_for_body(
-        &self,
-        endpoint: EndpointId,
-        headers: &HeaderMap,
-        body: &Incoming,
-    ) -> Result<Lease, Unreadable> {
-        let content_length = body.size_hint().exact();
-        // With neither, the body ends with the connection, and one that broke off looks complete.
-        let is_framed = content_length.is_some() || headers.contains_key(TRANSFER_ENCODING);
-        let max_length = match content_length {
+    fn lease_for_body(&self, endpoint: EndpointId, body: &Incoming) -> Result<Lease, Unreadable> {
+        let max_length = match body.size_hint().exact() {
             Some(length) => usize::try_from(length).unwrap_or(usize::MAX),
             None => MAX_BODY_BYTES,
         };
-        if !is_framed || max_length > MAX_BODY_BYTES {
-            return Err(Unreadable::Length(endpoint));
+        if max_length > MAX_BODY_BYTES {
+            return Err(Unreadable::TooLong(endpoint));
         }
         self.budget.lease(max_length).ok_or(Unreadable::OutOfMemory)
     }
