Test interrupted and short system calls on the connections of all three kinds

Cause: Socket takes EINTR for an error of the connection, and discovery reads a bare TcpStream, where the runtime takes a short read for an empty buffer. Behaviour is unchanged. That a connection which fails with ETIMEDOUT, EHOSTUNREACH, ECONNRESET or EPIPE once the request was on its way means may have run holds, and has a test now.

--- a/crates/node/src/discovery/client_tests.rs
+++ b/crates/node/src/discovery/client_tests.rs
@@ -1,6 +1,8 @@
 //! How long a call may take for a list. Time is the runtime's own here.
 
 use super::*;
+use crate::socket::fault_injection::InjectedFaults;
+use rustix::io::Errno;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
@@ -98,3 +100,17 @@
         assert!(elapsed <= MAX_TIME, "{elapsed:?}");
     }
 }
+
+#[test]
+fn an_interrupted_or_short_call_does_not_hold_up_a_list() {
+    const LIST: &str = "{\"index\":8,\"snapshot\":true,\"endpoints\":[]}\n";
+    for fault in [|| InjectedFaults::errors(Errno::INTR, 2), InjectedFaults::short_reads] {
+        for watched in [true, false] {
+            let faults = fault();
+            let (result, elapsed) = call(watched, vec![head(LIST.len()), LIST.as_bytes().to_vec()]);
+            assert_eq!(result.expect("a list"), LIST);
+            assert!(elapsed <= 3 * STEP, "{elapsed:?}");
+            assert!(faults.count() > 0, "it is reached");
+        }
+    }
+}
--- a/crates/node/src/downstream/listener_tests.rs
+++ b/crates/node/src/downstream/listener_tests.rs
@@ -8,6 +8,7 @@
 use crate::downstream::phase::Phase;
 use crate::downstream::registry::ConnectionRegistry;
 use crate::memory_budget::Budget;
+use crate::socket::fault_injection::InjectedFaults;
 use rustix::io::Errno;
 use std::cell::Cell;
 use std::io::ErrorKind;
@@ -196,3 +197,20 @@
         });
     }
 }
+
+#[test]
+fn an_interrupted_or_short_call_costs_no_client_its_answer() {
+    for fault in [|| InjectedFaults::errors(Errno::INTR, 2), InjectedFaults::short_reads] {
+        with_failures(Errno::INTR, async |address, _| {
+            let faults = fault();
+            for _ in 0..10 {
+                let mut client = connect(address).await;
+                for _ in 0..2 {
+                    assert!(ask(&mut client).await, "a client was closed with no answer");
+                    drain(&mut client).await;
+                }
+            }
+            assert!(faults.count() >= 20, "{} faults", faults.count());
+        });
+    }
+}
--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -1,10 +1,13 @@
 //! A TCP stream for hyper, and a handle by which the owner of the connection can still inspect it.
 
+#[cfg(test)]
+pub mod fault_injection;
+mod system_calls;
+
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
-use std::mem::MaybeUninit;
 use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker, ready};
@@ -58,7 +61,7 @@
                 return ReadAheadEnd::Stopped;
             }
             let mut chunk = [0; MAX_READ_BYTES];
-            match self.stream.try_read(&mut chunk[..room]) {
+            match system_calls::read(&self.stream, &mut chunk[..room]) {
                 Ok(0) => return ReadAheadEnd::PeerClosed,
                 Ok(count) => {
                     self.note_arrival();
@@ -129,7 +132,7 @@
         if !shared.read_ahead.borrow().is_empty() {
             return false;
         }
-        let peeked = SockRef::from(&shared.stream).peek(&mut [MaybeUninit::uninit()]);
+        let peeked = system_calls::peek(&shared.stream);
         peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
     }
 
@@ -169,7 +172,7 @@
         let mut chunk = [0; MAX_READ_BYTES];
         loop {
             ready!(self.0.stream.poll_read_ready(cx))?;
-            match self.0.stream.try_read(&mut chunk[..max_count]) {
+            match system_calls::read(&self.0.stream, &mut chunk[..max_count]) {
                 Ok(count) => {
                     if count > 0 {
                         self.0.note_arrival();
@@ -186,7 +189,7 @@
 
 impl Write for Socket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        self.poll_try_write(cx, |stream| stream.try_write(bytes))
+        self.poll_try_write(cx, |stream| system_calls::write(stream, bytes))
     }
 
     fn poll_write_vectored(
@@ -194,7 +197,7 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.poll_try_write(cx, |stream| stream.try_write_vectored(slices))
+        self.poll_try_write(cx, |stream| system_calls::write_vectored(stream, slices))
     }
 
     fn is_write_vectored(&self) -> bool {
--- /dev/null
+++ b/crates/node/src/socket/system_calls.rs
@@ -0,0 +1,35 @@
+//! The system calls on the streams of clients, endpoints and discovery. Tests make them fail here, since the kernel cannot
+//! be made to interrupt or shorten a call at will.
+
+use socket2::SockRef;
+use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
+use tokio::net::TcpStream;
+
+/// Reads what has arrived, into the buffer.
+pub fn read(stream: &TcpStream, buffer: &mut [u8]) -> io::Result<usize> {
+    #[cfg(test)]
+    let buffer = super::fault_injection::shorten(buffer);
+    call(|| stream.try_read(buffer))
+}
+
+/// Looks for a byte that can be read, and leaves it there.
+pub fn peek(stream: &TcpStream) -> io::Result<usize> {
+    call(|| SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]))
+}
+
+/// Writes as much as there is room for.
+pub fn write(stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
+    call(|| stream.try_write(bytes))
+}
+
+/// Writes as much as there is room for, of several slices.
+pub fn write_vectored(stream: &TcpStream, slices: &[IoSlice<'_>]) -> io::Result<usize> {
+    call(|| stream.try_write_vectored(slices))
+}
+
+fn call<T>(mut make: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    #[cfg(test)]
+    let mut make = || super::fault_injection::inject().map_or_else(&mut make, Err);
+    make()
+}
--- a/crates/node/src/upstream/attempt_tests.rs
+++ b/crates/node/src/upstream/attempt_tests.rs
@@ -2,20 +2,30 @@
 use crate::clock::Clock;
 use crate::memory_budget::Budget;
 use crate::message::ListedEndpoint;
+use crate::socket::fault_injection::InjectedFaults;
 use crate::upstream::load_report::LoadReportParser;
 use crate::upstream::pool::Pool;
 use crate::upstream::pool::tests::{ENDPOINT, with_pool};
 use hyper::Method;
 use hyper::header::HeaderValue;
 use ottertiller_balancer::{EndpointState, ListKind, LoadReportSource};
+use rustix::io::Errno;
 use std::cell::RefCell;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::spawn_local;
 
 const MINUTE: Duration = Duration::from_secs(60);
 
 /// Makes an attempt after a change since it was decided on; returns its outcome and what its endpoint was sent.
 fn outcome_after(change: impl FnOnce(&Pool, &mut Attempt, ListedEndpoint, Duration)) -> (Outcome, String) {
+    outcome_of_response("", change)
+}
+
+/// As [`outcome_after`], of an endpoint that sends this before it closes the connection.
+fn outcome_of_response(
+    response: &'static str,
+    change: impl FnOnce(&Pool, &mut Attempt, ListedEndpoint, Duration),
+) -> (Outcome, String) {
     with_pool(async |pool, listener, endpoint| {
         let clock = Clock::start();
         let now = clock.now();
@@ -37,6 +47,7 @@
             let (mut stream, _) = listener.accept().await.expect("a dial");
             let mut sent = [0; 15];
             let read = stream.read(&mut sent).await.unwrap_or_default();
+            let _ = stream.write_all(response.as_bytes()).await; // the attempt may be over
             String::from_utf8_lossy(&sent[..read]).into_owned()
         });
         let load_reports = LoadReportParser::new(LoadReportSource::None, Vec::new());
@@ -68,3 +79,27 @@
     });
     assert_eq!(drained, nothing(), "the endpoint drains, though its grace is not over");
 }
+
+const SERVED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+#[test]
+fn an_attempt_whose_calls_are_interrupted_or_short_is_served() {
+    for fault in [|| InjectedFaults::errors(Errno::INTR, 2), InjectedFaults::short_reads] {
+        let faults = fault();
+        assert_eq!(outcome_of_response(SERVED, |_, _, _, _| {}).0, Outcome::Served);
+        assert!(faults.count() > 0, "it is reached");
+    }
+}
+
+/// The connection has failed once the request was on its way: nothing says that the request never ran.
+#[test]
+fn an_attempt_whose_connection_fails_after_it_was_written_may_have_run() {
+    for errno in [Errno::TIMEDOUT, Errno::HOSTUNREACH, Errno::CONNRESET, Errno::PIPE] {
+        for fail_every in [2, 3] {
+            let faults = InjectedFaults::errors(errno, fail_every);
+            let (outcome, _) = outcome_of_response(SERVED, |_, _, _, _| {});
+            assert_eq!(outcome, Outcome::Reset, "{errno:?} on one call of {fail_every}");
+            assert!(faults.count() > 0, "it is reached");
+        }
+    }
+}
