Make interrupted system calls again, and read discovery through the same socket as the rest

Change: every read, write, peek and connect on a stream is made again when it is interrupted, in socket/system_calls.rs alone; discovery's connections are Sockets, which read until the system says that it would block. ENOBUFS and ENOMEM of a dial count as the node's own shortage. hyper-util is no longer needed.

--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -2,17 +2,16 @@
 
 use crate::discovery::framing::{ListFramer, ListTooLong, MAX_LIST_BYTES, WatchLine};
 use crate::discovery::list_deadline::ListDeadline;
+use crate::socket::{self, Socket};
 use bytes::{Bytes, BytesMut};
 use http_body_util::Empty;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::timeout;
 
@@ -85,9 +84,10 @@
     }
 
     async fn exchange(&self, path: &str) -> Result<Call, ClientError> {
-        let connected = timeout(self.connect_timeout, TcpStream::connect(self.address)).await;
+        let connected = timeout(self.connect_timeout, socket::connect(self.address)).await;
         let stream = connected.map_err(|_| ClientError::ConnectTimeout)?.map_err(ClientError::Connect)?;
-        let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await?;
+        let (socket, _) = Socket::new(stream);
+        let (mut sender, driver) = http1::handshake(socket).await?;
         let connection = Connection(spawn_local(async move {
             let _ = driver.await; // an error shows in the response
         }));
--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -4,6 +4,8 @@
 pub mod fault_injection;
 mod system_calls;
 
+pub use system_calls::connect;
+
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
--- a/crates/node/src/socket/system_calls.rs
+++ b/crates/node/src/socket/system_calls.rs
@@ -2,10 +2,21 @@
 //! be made to interrupt or shorten a call at will.
 
 use socket2::SockRef;
-use std::io::{self, IoSlice};
+use std::io::{self, ErrorKind, IoSlice};
 use std::mem::MaybeUninit;
+use std::net::SocketAddr;
 use tokio::net::TcpStream;
 
+/// Connects to an address.
+pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    loop {
+        match TcpStream::connect(address).await {
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            result => return result,
+        }
+    }
+}
+
 /// Reads what has arrived, into the buffer.
 pub fn read(stream: &TcpStream, buffer: &mut [u8]) -> io::Result<usize> {
     #[cfg(test)]
@@ -28,8 +39,14 @@
     call(|| stream.try_write_vectored(slices))
 }
 
+/// Makes a call, again if it is interrupted: that says nothing of the connection.
 fn call<T>(mut make: impl FnMut() -> io::Result<T>) -> io::Result<T> {
     #[cfg(test)]
     let mut make = || super::fault_injection::inject().map_or_else(&mut make, Err);
-    make()
+    loop {
+        match make() {
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            result => return result,
+        }
+    }
 }
--- a/crates/node/src/socket_tests.rs
+++ b/crates/node/src/socket_tests.rs
@@ -1,4 +1,6 @@
+use super::fault_injection::InjectedFaults;
 use super::*;
+use rustix::io::Errno;
 use std::io::Write;
 use tokio::net::TcpListener;
 use tokio::time::timeout;
@@ -40,3 +42,23 @@
         }
     });
 }
+
+#[test]
+fn an_interrupted_call_says_nothing_of_the_peer() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    runtime.expect("a runtime").block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let mut peer = std::net::TcpStream::connect(address).expect("the listener accepts");
+        let (stream, _) = listener.accept().await.expect("the peer");
+        let (_socket, handle) = Socket::new(stream);
+        let faults = InjectedFaults::errors(Errno::INTR, 2);
+        assert!((0..2).all(|_| handle.has_nothing_to_read()), "it is open and has sent nothing");
+        for _ in 0..4 {
+            peer.write_all(b".").expect("room");
+            std::thread::sleep(KERNEL);
+            assert!(timeout(DISCONNECT_DEADLINE, handle.peer_closed()).await.is_err(), "it is there");
+        }
+        assert!(faults.count() >= 4);
+    });
+}
--- a/crates/node/src/upstream/pool/dial.rs
+++ b/crates/node/src/upstream/pool/dial.rs
@@ -2,7 +2,7 @@
 
 use crate::limits::READ_BUFFER_BYTES;
 use crate::logging::log_peer;
-use crate::socket::Socket;
+use crate::socket::{self, Socket};
 use crate::upstream::pool::Pool;
 use crate::upstream::pool::connection::{CheckoutResult, Connection, ConnectionPermit};
 use crate::upstream::pool::epoch::Epoch;
@@ -13,7 +13,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -32,7 +31,7 @@
 /// Why a dial failed.
 #[derive(Debug, thiserror::Error)]
 enum DialError {
-    /// This node is out of descriptors or ports, which says nothing about the endpoint.
+    /// This node or its system is out of descriptors, memory or ports, which says nothing about the endpoint.
     #[error("cannot dial: {0}")]
     LocalResources(io::Error),
     #[error("cannot connect: {0}")]
@@ -46,7 +45,9 @@
 impl DialError {
     fn from_connect(error: io::Error) -> Self {
         match Errno::from_io_error(&error) {
-            Some(Errno::MFILE | Errno::NFILE | Errno::ADDRNOTAVAIL) => DialError::LocalResources(error),
+            Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM | Errno::ADDRNOTAVAIL) => {
+                DialError::LocalResources(error)
+            }
             _ => DialError::Connect(error),
         }
     }
@@ -103,7 +104,7 @@
 }
 
 async fn connect(dial: Dial, connect_timeout: Duration) -> Result<Connection, DialError> {
-    let connected = timeout(connect_timeout, TcpStream::connect(dial.address)).await;
+    let connected = timeout(connect_timeout, socket::connect(dial.address)).await;
     let stream = connected.map_err(|_| DialError::TimedOut)?.map_err(DialError::from_connect)?;
     let (socket, handle) = Socket::new(stream);
     let handshake = http1::Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(socket).await;
