Keep served clients before a crowd at the connection limit, and new ones before a descriptor

Change: new clients go last only where the process is out of descriptors. At the connection limit the order is what it was.

--- a/crates/node/src/downstream/connection.rs
+++ b/crates/node/src/downstream/connection.rs
@@ -27,6 +27,16 @@
     Closing { since: Instant },
 }
 
+/// What an idle connection is closed for, which decides the order.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Eviction {
+    /// A client that comes while the registry is full: a crowd of silent clients, however new, does not displace those
+    /// that are served.
+    ForNewClient,
+    /// A descriptor, of which the process has none left: a client that has just been accepted goes last.
+    ForDescriptor,
+}
+
 /// The order in which idle connections are evicted.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EvictionRank {
@@ -37,8 +47,7 @@
 /// Whose loss costs least comes first.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum IdleKind {
-    /// Has sent nothing for a while since it was accepted. So a crowd of silent clients does not displace those that
-    /// are served.
+    /// Has sent nothing since it was accepted.
     Silent,
     /// Has been served before: a request that crosses its end is sent again on a new connection.
     Served,
@@ -151,20 +160,25 @@
         }
     }
 
-    /// The rank of an idle connection on which no byte of a further request has been read.
-    pub fn eviction_rank(&self) -> Option<EvictionRank> {
+    /// The rank of an idle connection, if it is one.
+    pub fn eviction_rank(&self, eviction: Eviction) -> Option<EvictionRank> {
+        let idle_since = self.idle_since()?;
+        Some(EvictionRank { kind: self.idle_kind(eviction), idle_since })
+    }
+
+    /// Since when the connection has been idle with no byte of a further request read, if it is.
+    pub fn idle_since(&self) -> Option<Instant> {
         match self.state.get() {
-            State::Idle { since } if self.socket.first_byte_at().is_none() => {
-                Some(EvictionRank { kind: self.idle_kind(), idle_since: since })
-            }
+            State::Idle { since } if self.socket.first_byte_at().is_none() => Some(since),
             State::Idle { .. } | State::Serving | State::Closing { .. } => None,
         }
     }
 
-    fn idle_kind(&self) -> IdleKind {
+    fn idle_kind(&self, eviction: Eviction) -> IdleKind {
+        let is_new = self.accepted.elapsed() < FIRST_REQUEST_DELAY;
         if self.has_sent_request.get() {
             IdleKind::Served
-        } else if self.accepted.elapsed() < FIRST_REQUEST_DELAY {
+        } else if is_new && eviction == Eviction::ForDescriptor {
             IdleKind::New
         } else {
             IdleKind::Silent
--- a/crates/node/src/downstream/listener.rs
+++ b/crates/node/src/downstream/listener.rs
@@ -1,5 +1,6 @@
 //! Accepts client connections up to the configured limit.
 
+use super::connection::Eviction;
 use super::server::Server;
 use crate::logging::log_peer;
 use rustix::io::Errno;
@@ -124,7 +125,7 @@
         match AcceptFailure::of(&error) {
             // A turn of the loop for the others, should the next ones have failed as well.
             AcceptFailure::OneConnection => return yield_now().await,
-            AcceptFailure::OutOfDescriptors => self.server.registry().evict_one(),
+            AcceptFailure::OutOfDescriptors => self.server.registry().evict_one(Eviction::ForDescriptor),
             AcceptFailure::SystemResources => {}
         }
         sleep(RETRY_INTERVAL).await;
@@ -133,7 +134,7 @@
     async fn wait_for_capacity(&self) {
         let registry = self.server.registry();
         while registry.is_full() {
-            registry.evict_one();
+            registry.evict_one(Eviction::ForNewClient);
             let _ = timeout(RETRY_INTERVAL, registry.changed()).await;
         }
     }
--- a/crates/node/src/downstream/registry.rs
+++ b/crates/node/src/downstream/registry.rs
@@ -1,6 +1,6 @@
 //! The registry of client connections: their limit, their timeouts, and the eviction of idle ones.
 
-use super::connection::Connection;
+use super::connection::{Connection, Eviction};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -66,12 +66,12 @@
     }
 
     /// Makes room for a new connection by closing an idle one, unless one is closing already.
-    pub fn evict_one(&self) {
+    pub fn evict_one(&self, eviction: Eviction) {
         let connections = self.connections.borrow();
         let closing = connections.values().filter(|connection| connection.closing_since().is_some());
         match closing.min_by_key(|connection| connection.closing_since()) {
             Some(connection) => abort_if_overdue(connection),
-            None => close_first_idle(connections.values()),
+            None => close_first_idle(connections.values(), eviction),
         }
     }
 
@@ -79,7 +79,7 @@
     pub fn shut_down_idle(&self) {
         let connections = self.connections.borrow();
         for connection in connections.values() {
-            if connection.eviction_rank().is_some() && connection.has_nothing_to_read() {
+            if connection.idle_since().is_some() && connection.has_nothing_to_read() {
                 connection.shut_down_gracefully();
             }
         }
@@ -104,10 +104,10 @@
     }
 }
 
-fn close_first_idle<'a>(connections: impl Iterator<Item = &'a Rc<Connection>>) {
+fn close_first_idle<'a>(connections: impl Iterator<Item = &'a Rc<Connection>>, eviction: Eviction) {
     let mut idle = Vec::new();
     for connection in connections {
-        if let Some(rank) = connection.eviction_rank() {
+        if let Some(rank) = connection.eviction_rank(eviction) {
             idle.push((rank, connection));
         }
     }
