Test restarts under load with signals in series and the earliest kill

It checks that whatever was forwarded is answered, that nothing is refused or sent twice that may have run, and that no answer is mixed up. Acceptor::finish accepts until the queue is empty, and clients whose connections close with each answer connect again at once: the phase in which requests are shed never begins. The test is listed.

--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -11,4 +11,5 @@
 mod reload;
 mod shutdown;
 mod slow_clients;
+mod soak;
 mod support;
--- a/crates/node/tests/node/support/client.rs
+++ b/crates/node/tests/node/support/client.rs
@@ -13,16 +13,33 @@
 
 impl Client {
     pub fn connect(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).expect("the node accepts");
+        Client::try_connect(address).expect("the node accepts")
+    }
+
+    /// A connection, unless nobody accepts it.
+    pub fn try_connect(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(address).ok()?;
         stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a time-out");
-        Client(BufReader::new(stream))
+        Some(Client(BufReader::new(stream)))
     }
 
     pub fn send(&mut self, start: &str, headers: &str, body: &[u8]) {
-        let length =
-            if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
-        let head = format!("{start} HTTP/1.1\r\nHost: service.internal\r\n{headers}{length}\r\n");
-        self.0.get_mut().write_all(&[head.as_bytes(), body].concat()).expect("the node reads");
+        self.0.get_mut().write_all(&request_bytes(start, headers, body)).expect("the node reads");
+    }
+
+    /// The response to a request; `None` if the connection ends without one.
+    pub fn try_request(&mut self, start: &str, headers: &str, body: &[u8]) -> Option<Message> {
+        self.0.get_mut().write_all(&request_bytes(start, headers, body)).ok()?;
+        self.receive()
+    }
+
+    /// Whether the node is known to have ended this connection; does not wait for it.
+    pub fn has_ended(&mut self) -> bool {
+        let stream = self.0.get_ref();
+        stream.set_nonblocking(true).expect("its mode");
+        let peeked = stream.peek(&mut [0]);
+        stream.set_nonblocking(false).expect("its mode");
+        !matches!(peeked, Err(error) if error.kind() == ErrorKind::WouldBlock)
     }
 
     /// The response; `None` if the connection ends without one.
@@ -66,6 +83,12 @@
     }
 }
 
+fn request_bytes(start: &str, headers: &str, body: &[u8]) -> Vec<u8> {
+    let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    let head = format!("{start} HTTP/1.1\r\nHost: service.internal\r\n{headers}{length}\r\n");
+    [head.as_bytes(), body].concat()
+}
+
 /// The headers that every request has, with an id of its own.
 pub fn common_headers(budget_ms: u64) -> String {
     let number = REQUEST_NUMBER.fetch_add(1, Ordering::SeqCst);
--- a/crates/node/tests/node/support/process.rs
+++ b/crates/node/tests/node/support/process.rs
@@ -104,6 +104,16 @@
         self.signal("-HUP");
     }
 
+    pub fn has_exited(&mut self) -> bool {
+        self.child.try_wait().expect("its state").is_some()
+    }
+
+    /// Kills it outright.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill(); // it may have ended by itself
+        let _ = self.child.wait();
+    }
+
     pub fn wait_for_exit(&mut self) -> ExitStatus {
         let mut status = None;
         wait_until(
