Accept no more at the end of a shutdown than the kernel's queue holds

Change: 1,024 connections at the most, the length of the queue, after which the listener closes and requests are shed.

--- a/crates/node/src/downstream/listener.rs
+++ b/crates/node/src/downstream/listener.rs
@@ -60,6 +60,9 @@
     }
 }
 
+/// As many connections as the kernel's queue holds. Clients that come again at once would otherwise keep it filled, and
+/// the shutdown waiting, for good.
+const MAX_QUEUED_CONNECTIONS: usize = 1024;
 /// How often in a row accepting the last connections may fail: closing the listener resets those that are left.
 const MAX_LAST_FAILURES: u32 = 16;
 
@@ -96,17 +99,17 @@
     pub async fn finish(mut self) {
         self.serve_pending();
         let mut failures = 0;
-        while failures < MAX_LAST_FAILURES {
+        for _ in 0..MAX_QUEUED_CONNECTIONS {
             match timeout(Duration::ZERO, self.listener.accept()).await {
                 Ok(Ok(stream)) => {
                     self.server.serve(stream);
                     failures = 0;
                 }
-                Ok(Err(error)) => {
+                Ok(Err(error)) if failures < MAX_LAST_FAILURES => {
                     self.recover(error).await;
                     failures += 1;
                 }
-                Err(_) => return,
+                Ok(Err(_)) | Err(_) => return,
             }
         }
     }
