--- a/crates/balancer/tests/decisions/slow_start.rs
+++ b/crates/balancer/tests/decisions/slow_start.rs
@@ -6,9 +6,8 @@
 use ottertiller_balancer::*;
 use std::time::Duration;
 
-#[test]
-fn an_endpoint_in_slow_start_gets_no_more_than_its_share() {
-    // Ten endpoints carry 100 requests a second of three nodes, so each has a capacity of at least 10 a second.
+/// Settings whose slow start lasts ten seconds, for nodes that send 33 requests a second.
+fn ten_seconds_of_slow_start() -> Settings {
     let mut settings = response_report_settings();
     settings.rules = Rules {
         initial_capacity: 0.2,
@@ -17,7 +16,13 @@
         overload_window: ms(1500),
         ..settings.rules
     };
-    let mut node = NodeSimulation::with_endpoints(settings, 10);
+    settings
+}
+
+#[test]
+fn an_endpoint_in_slow_start_gets_no_more_than_its_share() {
+    // Ten endpoints carry 100 requests a second of three nodes, so each has a capacity of at least 10 a second.
+    let mut node = NodeSimulation::with_endpoints(ten_seconds_of_slow_start(), 10);
     let mut sent = Vec::new();
     for step in 0..1500u64 {
         if step == 700 {
@@ -53,19 +58,6 @@
     assert!(used.values().sum::<usize>() > 20, "{used:?}"); // they have three tenths of their capacity
 }
 
-/// Settings whose slow start lasts ten seconds, for nodes that send 33 requests a second.
-fn ten_seconds_of_slow_start() -> Settings {
-    let mut settings = response_report_settings();
-    settings.rules = Rules {
-        initial_capacity: 0.2,
-        slow_start_window: ms(10_000),
-        overload_factor: 4.0,
-        overload_window: ms(1500),
-        ..settings.rules
-    };
-    settings
-}
-
 /// How many of 50 requests, in 1.5 s, go to the endpoint.
 fn requests_to(node: &mut NodeSimulation, endpoint: u64) -> usize {
     play_requests(node, 50, |_| Outcome::Served).get(&endpoint).copied().unwrap_or_default()
