--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -42,6 +42,19 @@
     }
 }
 
+impl Call {
+    /// Returns a POST without a key, for a class that is unsafe to repeat.
+    pub fn post_without_key(class: &'static str, budget_ms: u64) -> Self {
+        let id = new_call_id();
+        let body = format!("order {id}");
+        let bytes = format!(
+            "POST /{class} HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: {id}\r\nX-Budget-Ms: {budget_ms}\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        Call { id, class, bytes: bytes.into_bytes() }
+    }
+}
+
 /// A connection to a node.
 pub struct Connection(BufReader<TcpStream>);
 
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -64,12 +64,24 @@
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
+
+    /// Returns the anonymous memory of the process in KiB: without the pages of files.
+    pub fn anonymous_kib(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+        line.trim().trim_end_matches("kB").trim().parse().ok()
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
 }
 
 impl Drop for Node {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
