--- a/review/standins/src/bin/spoilt-answers.rs
+++ b/review/standins/src/bin/spoilt-answers.rs
@@ -75,7 +75,7 @@
         })
         .collect();
     let peak_kib = watch_memory(&mut node, &world);
-    let ended = !node.is_running();
+    let ended = !node.is_running() && !world.killed.load(Ordering::SeqCst);
     world.over.store(true, Ordering::SeqCst);
     let killed = world.killed.load(Ordering::SeqCst);
     for client in clients {
@@ -95,12 +95,16 @@
         if killed { ": KILLED FOR MEMORY" } else { "" }
     ));
     record.flush();
-    if count(&counts.served) == 0 || (ended && !killed) {
+    if count(&counts.served) == 0 {
         record.say("the case could not run");
         record.flush();
         std::process::exit(2);
     }
-    std::process::exit(i32::from(killed));
+    if ended {
+        record.say("THE NODE ENDED BY ITSELF");
+        record.flush();
+    }
+    std::process::exit(i32::from(ended || killed));
 }
 
 /// Watches the node's memory, as the platform does: over the limit, the node is killed. Counts only
