--- a/crates/node/src/downstream.rs
+++ b/crates/node/src/downstream.rs
@@ -28,6 +28,7 @@
 mod request_parser;
 mod response;
 mod shutdown_phase;
+mod state_counts;
 mod timeouts;
 
 pub(crate) use options::{ClassOptions, DownstreamOptions};
--- a/crates/node/src/downstream/admission.rs
+++ b/crates/node/src/downstream/admission.rs
@@ -3,7 +3,7 @@
 
 use super::in_flight_call_ids::{CallIdReservation, InFlightCallIds};
 use super::rejection::Rejection;
-use super::request_body;
+use super::request_body::BodyReader;
 use super::request_error::RequestError;
 use super::request_parser::ParsedRequest;
 use super::shutdown_phase::ShutdownPhase;
@@ -15,7 +15,6 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Admits requests.
 pub(super) struct Admission {
@@ -64,7 +63,7 @@
         }
     }
 
-    /// Reads the request's body until `read_deadline`, and admits the request.
+    /// Reads the request's body, and admits the request.
     ///
     /// # Errors
     ///
@@ -75,13 +74,13 @@
         &self,
         head: ParsedRequest,
         body: Incoming,
-        read_deadline: Instant,
+        body_reader: BodyReader<'_>,
     ) -> Result<AdmittedRequest<'_>, Rejection> {
         let Some(lease) = self.budget.lease(head.body_length) else {
             log_rate_limited("request shed: memory budget exhausted");
             return Err(self.shed());
         };
-        let body = request_body::read(body, head.body_length, lease, read_deadline).await?;
+        let body = body_reader.read(body, head.body_length, lease).await?;
         if self.phase.get().sheds_requests() {
             return Err(self.shed());
         }
--- a/crates/node/src/downstream/connection.rs
+++ b/crates/node/src/downstream/connection.rs
@@ -15,7 +15,10 @@
         /// layer, which writes it.
         since: Instant,
     },
-    /// A request's head has been read, and its response has not been passed to the HTTP layer.
+    /// A request's head has been read, but not all of its body.
+    ReadingBody,
+    /// A request has been read to its last byte, and its response has not been passed to the HTTP
+    /// layer.
     Serving,
     /// No more requests are served, and the client is expected to end the connection. If it does
     /// not in time, [`timeouts`](super::timeouts) or [`eviction`](super::eviction) aborts the
@@ -58,12 +61,17 @@
     pub(super) fn begin_request(&self) -> Instant {
         let started_at = self.request_started_at();
         self.has_read_request_head.set(true);
-        self.state.set(ConnectionState::Serving);
+        self.state.set(ConnectionState::ReadingBody);
         // The start of a pipelined request is unknown if all its bytes were read before the
         // previous response was passed to the HTTP layer. Such a request starts now.
         started_at.unwrap_or_else(Instant::now)
     }
 
+    /// Records that the request has been read to its last byte.
+    pub(super) fn request_received(&self) {
+        self.state.set(ConnectionState::Serving);
+    }
+
     /// Records that the response to the request is passed to the HTTP layer, and that the
     /// connection is kept for further requests.
     pub(super) fn end_request(&self) {
@@ -109,15 +117,18 @@
     }
 
     /// Completes when the client closes its side of the connection, or the connection fails, while
-    /// a request is being served. The caller then drops the connection together with the request. A
+    /// a request's body is being read or the request is being served. The caller then drops the connection together with the request. A
     /// client that closes only its sending side counts as disconnected too.
     ///
-    /// The state is checked once, when the close is noticed. If no request is being served then,
-    /// this never completes, since the HTTP layer detects the close itself.
+    /// The state is checked once, when the close is noticed. If there is no such request then, this
+    /// never completes, since the HTTP layer detects the close itself.
     pub(super) async fn client_disconnected(&self) {
         self.socket.peer_closed().await;
-        if self.state() != ConnectionState::Serving {
-            std::future::pending::<()>().await;
+        match self.state() {
+            ConnectionState::ReadingBody | ConnectionState::Serving => {}
+            ConnectionState::Idle { .. } | ConnectionState::Closing { .. } => {
+                std::future::pending::<()>().await;
+            }
         }
     }
 
@@ -152,7 +163,9 @@
     pub(super) fn closing_since(&self) -> Option<Instant> {
         match self.state() {
             ConnectionState::Closing { since } => Some(since),
-            ConnectionState::Idle { .. } | ConnectionState::Serving => None,
+            ConnectionState::Idle { .. }
+            | ConnectionState::ReadingBody
+            | ConnectionState::Serving => None,
         }
     }
 
@@ -160,13 +173,20 @@
     /// it is.
     pub(super) fn idle_since(&self) -> Option<Instant> {
         match self.state() {
-            ConnectionState::Idle { since } if self.socket.first_byte_at().is_none() => Some(since),
+            ConnectionState::Idle { since } if !self.is_reading_head() => Some(since),
             ConnectionState::Idle { .. }
+            | ConnectionState::ReadingBody
             | ConnectionState::Serving
             | ConnectionState::Closing { .. } => None,
         }
     }
 
+    /// Returns whether a part of a request's head has been read.
+    pub(super) fn is_reading_head(&self) -> bool {
+        matches!(self.state(), ConnectionState::Idle { .. })
+            && self.socket.first_byte_at().is_some()
+    }
+
     /// Returns whether the kernel has no unread bytes for this connection. Makes a system call.
     pub(super) fn has_nothing_to_read(&self) -> bool {
         self.socket.has_nothing_to_read()
--- a/crates/node/src/downstream/connection_registry.rs
+++ b/crates/node/src/downstream/connection_registry.rs
@@ -2,6 +2,7 @@
 
 use super::connection::Connection;
 use super::eviction::{self, EvictionReason};
+use super::state_counts::StateCounts;
 use super::timeouts;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -65,6 +66,11 @@
         }
     }
 
+    /// Counts the connections by their state.
+    pub(super) fn state_counts(&self) -> StateCounts {
+        StateCounts::new(self.connections.borrow().values())
+    }
+
     /// Makes room for a new connection by closing an idle one, unless one is closing already.
     pub(super) fn evict_one(&self, reason: EvictionReason) {
         eviction::evict_one(self.connections.borrow().values(), reason);
--- a/crates/node/src/downstream/http_server.rs
+++ b/crates/node/src/downstream/http_server.rs
@@ -3,6 +3,7 @@
 use super::connection::Connection;
 use super::connection_registry::ConnectionRegistry;
 use super::rejection::Rejection;
+use super::request_body::BodyReader;
 use super::request_handler::RequestHandler;
 use super::response::FullResponse;
 use super::shutdown_phase::ShutdownPhase;
@@ -98,7 +99,8 @@
     ) -> Result<FullResponse, Infallible> {
         // The rest of the request, which is its body, has to be read by this deadline.
         let read_deadline = connection.begin_request() + READ_TIMEOUT;
-        let result = self.handler.handle(request, read_deadline).await;
+        let body_reader = BodyReader::new(connection, read_deadline);
+        let result = self.handler.handle(request, body_reader).await;
         let keeps_connection = result
             .as_ref()
             .err()
--- a/crates/node/src/downstream/listener.rs
+++ b/crates/node/src/downstream/listener.rs
@@ -1,11 +1,13 @@
 //! Accepts client connections up to the configured limit.
 
 mod accept_error;
+mod pause_log;
 
 use super::eviction::EvictionReason;
 use super::http_server::HttpServer;
 use crate::logging::log_rate_limited;
 use accept_error::AcceptErrorKind;
+use pause_log::PauseLog;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,6 +50,7 @@
     /// An accepted connection that waits until the registry is not full. It is kept here to survive
     /// the cancellation of [`Self::run`], since its client may have sent a request already.
     pending: Option<TcpStream>,
+    pause_log: PauseLog,
 }
 
 impl<L: Listener> Acceptor<L> {
@@ -57,6 +60,7 @@
             listener,
             server,
             pending: None,
+            pause_log: PauseLog::default(),
         }
     }
 
@@ -122,12 +126,14 @@
     /// Evicts idle connections until the registry is not full. Tries again after each change of the
     /// registry, and after [`RETRY_INTERVAL`] without one, since a connection that takes too long
     /// to close is aborted only by a later eviction.
-    async fn wait_for_capacity(&self) {
+    async fn wait_for_capacity(&mut self) {
         let registry = self.server.registry();
         while registry.is_full() {
+            self.pause_log.record_wait(registry);
             registry.evict_one(EvictionReason::RegistryFull);
             let _ = timeout(RETRY_INTERVAL, registry.changed()).await;
         }
+        self.pause_log.record_room();
     }
 
     /// Serves the pending connection, if there is one.
--- a/crates/node/src/downstream/request_body.rs
+++ b/crates/node/src/downstream/request_body.rs
@@ -1,5 +1,6 @@
 //! Reads the bodies of requests, and discards those of rejected ones.
 
+use super::connection::Connection;
 use super::request_error::RequestError;
 use crate::limits::MAX_BODY_BYTES;
 use crate::memory_budget::MemoryLease;
@@ -16,43 +17,63 @@
 /// `timeouts::LINGER_TIMEOUT`, after which a closing connection is aborted.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Reads a body of `length` bytes, for which memory has been leased, until the deadline.
-///
-/// # Errors
-///
-/// Returns [`RequestError::ReadTimeout`] if the deadline passes, and
-/// [`RequestError::IncompleteBody`] if the body cannot be read or has another length.
-pub(super) async fn read(
-    mut body: Incoming,
-    length: usize,
-    lease: MemoryLease,
+/// Reads the body of the request whose head was last read on a connection.
+pub(super) struct BodyReader<'a> {
+    connection: &'a Connection,
     deadline: Instant,
-) -> Result<Bytes, RequestError> {
-    if length == 0 {
-        return Ok(Bytes::new());
-    }
-    let mut content = BytesMut::with_capacity(length);
-    while let Some(frame) = next_frame(&mut body, deadline).await? {
-        if let Ok(data) = frame.into_data() {
-            content.extend_from_slice(&data);
+}
+
+impl<'a> BodyReader<'a> {
+    /// Creates a reader that reads until the deadline.
+    pub(super) fn new(connection: &'a Connection, deadline: Instant) -> Self {
+        BodyReader {
+            connection,
+            deadline,
         }
     }
-    if content.len() != length {
-        return Err(RequestError::IncompleteBody);
+
+    /// Reads a body of `length` bytes, for which memory has been leased.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RequestError::ReadTimeout`] if the deadline passes, and
+    /// [`RequestError::IncompleteBody`] if the body cannot be read or has another length.
+    pub(super) async fn read(
+        &self,
+        mut body: Incoming,
+        length: usize,
+        lease: MemoryLease,
+    ) -> Result<Bytes, RequestError> {
+        let content = match length {
+            0 => Bytes::new(),
+            _ => lease.attach_to(self.read_all(&mut body, length).await?),
+        };
+        self.connection.request_received();
+        Ok(content)
     }
-    Ok(lease.attach_to(content.freeze()))
-}
 
-/// Reads the next frame of a body. Returns `None` at its end.
-async fn next_frame(
-    body: &mut Incoming,
-    deadline: Instant,
-) -> Result<Option<Frame<Bytes>>, RequestError> {
-    timeout_at(deadline, body.frame())
-        .await
-        .map_err(|_| RequestError::ReadTimeout)?
-        .transpose()
-        .map_err(|_| RequestError::IncompleteBody)
+    /// Reads a body of `length` bytes to its end.
+    async fn read_all(&self, body: &mut Incoming, length: usize) -> Result<Bytes, RequestError> {
+        let mut content = BytesMut::with_capacity(length);
+        while let Some(frame) = self.next_frame(body).await? {
+            if let Ok(data) = frame.into_data() {
+                content.extend_from_slice(&data);
+            }
+        }
+        if content.len() != length {
+            return Err(RequestError::IncompleteBody);
+        }
+        Ok(content.freeze())
+    }
+
+    /// Reads the next frame of a body. Returns `None` at its end.
+    async fn next_frame(&self, body: &mut Incoming) -> Result<Option<Frame<Bytes>>, RequestError> {
+        timeout_at(self.deadline, body.frame())
+            .await
+            .map_err(|_| RequestError::ReadTimeout)?
+            .transpose()
+            .map_err(|_| RequestError::IncompleteBody)
+    }
 }
 
 /// Reads and drops the body of a rejected request in a task of its own, within limits of size and
--- a/crates/node/src/downstream/request_handler.rs
+++ b/crates/node/src/downstream/request_handler.rs
@@ -5,14 +5,13 @@
 use super::options::DownstreamOptions;
 use super::readiness_check::{self, ReadinessCheck};
 use super::rejection::Rejection;
-use super::request_body;
+use super::request_body::{self, BodyReader};
 use super::request_error::RequestError;
 use super::request_parser::{self, ParsedRequest};
 use super::response::{self, FullResponse};
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
-use tokio::time::Instant;
 
 /// Handles the requests of all connections.
 pub(super) struct RequestHandler {
@@ -46,8 +45,7 @@
         }
     }
 
-    /// Handles a request whose body must have been read by `read_deadline`, and returns its
-    /// response.
+    /// Handles a request, and returns its response.
     ///
     /// # Errors
     ///
@@ -55,12 +53,12 @@
     pub(super) async fn handle(
         &self,
         request: Request<Incoming>,
-        read_deadline: Instant,
+        body_reader: BodyReader<'_>,
     ) -> Result<FullResponse, Rejection> {
         let (head, body) = request.into_parts();
         match self.route(head, &body) {
             Ok(Route::ReadinessCheck) => Ok(self.readiness_check.response()),
-            Ok(Route::Forward(request)) => self.forward(*request, body, read_deadline).await,
+            Ok(Route::Forward(request)) => self.forward(*request, body, body_reader).await,
             Err(error) => {
                 request_body::discard_in_background(body);
                 Err(Rejection::Invalid(error))
@@ -83,9 +81,9 @@
         &self,
         request: ParsedRequest,
         body: Incoming,
-        read_deadline: Instant,
+        body_reader: BodyReader<'_>,
     ) -> Result<FullResponse, Rejection> {
-        let admitted = self.admission.admit(request, body, read_deadline).await?;
+        let admitted = self.admission.admit(request, body, body_reader).await?;
         let final_response = self.driver.submit(admitted).await;
         Ok(response::from_final_response(final_response))
     }
--- a/crates/node/src/downstream/timeouts.rs
+++ b/crates/node/src/downstream/timeouts.rs
@@ -50,6 +50,7 @@
             Some(PassedTimeout::Linger)
         }
         ConnectionState::Idle { .. }
+        | ConnectionState::ReadingBody
         | ConnectionState::Serving
         | ConnectionState::Closing { .. } => None,
     }
