Reject half-read requests to make room for new client connections

Cause: only idle connections could be evicted; a half-read request kept its place for READ_TIMEOUT, and accepts waited for a free place. Log: "0 idle, 128 reading a head, 128 reading a body, 0 serving"; a lost id is in no log line. Change: such connections are evicted too, with a 503 (the request never ran): stalled ones before served clients, others after them.

--- a/crates/node/src/downstream/admission.rs
+++ b/crates/node/src/downstream/admission.rs
@@ -3,7 +3,7 @@
 
 use super::in_flight_call_ids::{CallIdReservation, InFlightCallIds};
 use super::rejection::Rejection;
-use super::request_body::BodyReader;
+use super::request_body::{BodyError, BodyReader};
 use super::request_error::RequestError;
 use super::request_parser::ParsedRequest;
 use super::shutdown_phase::ShutdownPhase;
@@ -68,7 +68,7 @@
     /// # Errors
     ///
     /// Rejects the request if the memory budget has no room for its body, if the body does not
-    /// arrive completely and in time, if the shutdown has reached the phase that sheds requests, or
+    /// arrive completely and in time, if its connection is evicted before that, if the shutdown has reached the phase that sheds requests, or
     /// if the call id is in use.
     pub(super) async fn admit(
         &self,
@@ -80,7 +80,11 @@
             log_rate_limited("request shed: memory budget exhausted");
             return Err(self.shed());
         };
-        let body = body_reader.read(body, head.body_length, lease).await?;
+        let body = match body_reader.read(body, head.body_length, lease).await {
+            Ok(body) => body,
+            Err(BodyError::Invalid(error)) => return Err(Rejection::Invalid(error)),
+            Err(BodyError::Evicted) => return Err(self.shed()),
+        };
         if self.phase.get().sheds_requests() {
             return Err(self.shed());
         }
@@ -100,7 +104,7 @@
     }
 
     /// Returns the rejection of a request that its client may safely retry.
-    fn shed(&self) -> Rejection {
+    pub(super) fn shed(&self) -> Rejection {
         Rejection::Shed {
             retry_after: self.retry_after,
         }
--- a/crates/node/src/downstream/connection.rs
+++ b/crates/node/src/downstream/connection.rs
@@ -30,6 +30,15 @@
     },
 }
 
+/// The part of a request that was being read when its connection was evicted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RequestPart {
+    /// The head.
+    Head,
+    /// The body.
+    Body,
+}
+
 /// A client's connection.
 pub(super) struct Connection {
     socket: SocketHandle,
@@ -37,6 +46,10 @@
     /// Whether the complete head of a request has ever been read.
     has_read_request_head: Cell<bool>,
     state: Cell<ConnectionState>,
+    /// The part of the request that must not be read further, because the connection is evicted.
+    evicted_part: Cell<Option<RequestPart>>,
+    /// Notified when `evicted_part` is set.
+    evicted: Notify,
     /// Notified when the HTTP layer is to end the connection gracefully.
     shutdown: Notify,
     /// Notified when the connection is to be dropped at once.
@@ -52,6 +65,8 @@
             accepted_at,
             has_read_request_head: Cell::new(false),
             state: Cell::new(ConnectionState::Idle { since: accepted_at }),
+            evicted_part: Cell::new(None),
+            evicted: Notify::new(),
             shutdown: Notify::new(),
             abort: Notify::new(),
         }
@@ -62,6 +77,7 @@
         let started_at = self.request_started_at();
         self.has_read_request_head.set(true);
         self.state.set(ConnectionState::ReadingBody);
+        self.evicted_part.set(None);
         // The start of a pipelined request is unknown if all its bytes were read before the
         // previous response was passed to the HTTP layer. Such a request starts now.
         started_at.unwrap_or_else(Instant::now)
@@ -70,6 +86,7 @@
     /// Records that the request has been read to its last byte.
     pub(super) fn request_received(&self) {
         self.state.set(ConnectionState::Serving);
+        self.evicted_part.set(None);
     }
 
     /// Records that the response to the request is passed to the HTTP layer, and that the
@@ -95,6 +112,42 @@
         self.shut_down_gracefully();
     }
 
+    /// Makes room by ending the connection. A request that is being read is rejected, unless its
+    /// next part arrives before that. If a request is being served, does nothing.
+    pub(super) fn evict(&self) {
+        match self.state() {
+            ConnectionState::Idle { .. } if self.is_reading_head() => {
+                self.evict_request(RequestPart::Head);
+            }
+            ConnectionState::Idle { .. } => self.close(),
+            ConnectionState::ReadingBody => self.evict_request(RequestPart::Body),
+            ConnectionState::Serving | ConnectionState::Closing { .. } => {}
+        }
+    }
+
+    fn evict_request(&self, part: RequestPart) {
+        self.start_closing();
+        self.evicted_part.set(Some(part));
+        self.evicted.notify_waiters();
+    }
+
+    /// Waits until the connection is evicted while this part of a request is being read.
+    pub(super) async fn evicted_while_reading(&self, part: RequestPart) {
+        loop {
+            let evicted = self.evicted.notified();
+            if self.evicted_part.get() == Some(part) {
+                return;
+            }
+            evicted.await;
+        }
+    }
+
+    /// Sends a final response past the HTTP layer, which has not read the request's whole head. The
+    /// caller then drops the connection.
+    pub(super) fn send_final_response(&self, response: &[u8]) {
+        self.socket.write_past_hyper(response);
+    }
+
     /// Asks the HTTP layer to end the connection, after the request in progress if there is one.
     /// The state does not change.
     pub(super) fn shut_down_gracefully(&self) {
@@ -187,6 +240,17 @@
             && self.socket.first_byte_at().is_some()
     }
 
+    /// Returns when the last bytes of the request that is being read arrived, if one is.
+    pub(super) fn reading_request_since(&self) -> Option<Instant> {
+        let is_reading = self.state() == ConnectionState::ReadingBody || self.is_reading_head();
+        is_reading.then(|| self.socket.last_byte_at()).flatten()
+    }
+
+    /// Returns whether every response has been written.
+    pub(super) fn is_flushed(&self) -> bool {
+        self.socket.is_flushed()
+    }
+
     /// Returns whether the kernel has no unread bytes for this connection. Makes a system call.
     pub(super) fn has_nothing_to_read(&self) -> bool {
         self.socket.has_nothing_to_read()
--- a/crates/node/src/downstream/connection_registry.rs
+++ b/crates/node/src/downstream/connection_registry.rs
@@ -71,7 +71,7 @@
         StateCounts::new(self.connections.borrow().values())
     }
 
-    /// Makes room for a new connection by closing an idle one, unless one is closing already.
+    /// Makes room for a new connection by evicting one, unless one is closing already.
     pub(super) fn evict_one(&self, reason: EvictionReason) {
         eviction::evict_one(self.connections.borrow().values(), reason);
     }
--- a/crates/node/src/downstream/eviction.rs
+++ b/crates/node/src/downstream/eviction.rs
@@ -1,17 +1,18 @@
-//! Evicts idle client connections to make room for new ones.
+//! Evicts client connections to make room for new ones: idle ones, and those on which a request has
+//! arrived only in part.
 
 use super::connection::Connection;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long a connection counts as new. If a client sends its first request right after connecting,
-/// the request may take this long to arrive.
-const FIRST_REQUEST_DELAY: Duration = Duration::from_millis(100);
+/// How long the next bytes of a client may take to arrive, if it sends its first request right after
+/// connecting, or a request in several parts.
+const ARRIVAL_DELAY: Duration = Duration::from_millis(100);
 /// How long a closing connection may take to end before it is aborted to make room.
 const CLOSING_GRACE: Duration = Duration::from_millis(10);
 
-/// Why an idle connection is evicted. The order of eviction depends on it.
+/// Why a connection is evicted. The order of eviction depends on it.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(super) enum EvictionReason {
     /// A client has connected while the registry is full. Silent clients are evicted first, even
@@ -21,29 +22,33 @@
     OutOfDescriptors,
 }
 
-/// The position of an idle connection in the order of eviction. The lowest rank is evicted first.
+/// The position of a connection in the order of eviction. The lowest rank is evicted first.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct EvictionRank {
-    client: IdleClient,
-    idle_since: Instant,
+    client: ClientActivity,
+    quiet_since: Instant,
 }
 
-/// What is known of an idle client. The variants are in ascending order of the cost of evicting
-/// such a client.
+/// What a client has done that may be evicted. The variants are in ascending order of the cost of
+/// evicting such a client.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum IdleClient {
+enum ClientActivity {
     /// Has sent nothing since it was accepted.
     Silent,
+    /// Has sent a part of a request, and nothing for [`ARRIVAL_DELAY`]. The request is rejected.
+    Stalled,
     /// Has been served before. If the client sends a request while its connection is being closed,
     /// it resends the request on a new connection.
     Served,
+    /// Is sending a request. The request is rejected.
+    Sending,
     /// Has just been accepted. Its first request may be on its way and would be lost.
     New,
 }
 
-/// Makes room for a new connection by closing an idle one. If connections are closing already,
-/// closes no further one, but aborts the one that has been closing for the longest if that is
-/// longer than [`CLOSING_GRACE`].
+/// Makes room for a new connection by evicting one. If connections are closing already, evicts no
+/// further one, but aborts the one that has been closing for the longest if that is longer than
+/// [`CLOSING_GRACE`].
 pub(super) fn evict_one<'a>(
     connections: impl Iterator<Item = &'a Rc<Connection>> + Clone,
     reason: EvictionReason,
@@ -51,7 +56,7 @@
     match longest_closing(connections.clone()) {
         Some((connection, since)) if Instant::now() > since + CLOSING_GRACE => connection.abort(),
         Some(_) => {}
-        None => close_first_idle(connections, reason),
+        None => evict_first(connections, reason),
     }
 }
 
@@ -64,41 +69,58 @@
         .min_by_key(|(_, since)| *since)
 }
 
-/// Closes the first idle connection, in the order of eviction, that has nothing to read.
-fn close_first_idle<'a>(
-    connections: impl Iterator<Item = &'a Rc<Connection>>,
-    reason: EvictionReason,
-) {
-    let mut idle: Vec<_> = connections
+/// Evicts the first connection, in the order of eviction, that has nothing to read.
+fn evict_first<'a>(connections: impl Iterator<Item = &'a Rc<Connection>>, reason: EvictionReason) {
+    let mut candidates: Vec<_> = connections
         .filter_map(|connection| Some((rank(connection, reason)?, connection)))
         .collect();
-    idle.sort_unstable_by_key(|(rank, _)| *rank);
-    // Each check makes a system call, so connections are checked only until one can be closed.
-    let first = idle
+    candidates.sort_unstable_by_key(|(rank, _)| *rank);
+    // Each check makes a system call, so connections are checked only until one can be evicted.
+    let first = candidates
         .iter()
         .find(|(_, connection)| connection.has_nothing_to_read());
     if let Some((_, connection)) = first {
-        connection.close();
+        connection.evict();
     }
 }
 
-/// Returns the rank of a connection, if it is idle.
+/// Returns the rank of a connection, if it can be evicted.
 fn rank(connection: &Connection, reason: EvictionReason) -> Option<EvictionRank> {
-    let idle_since = connection.idle_since()?;
+    if let Some(quiet_since) = connection.reading_request_since() {
+        return reading_rank(connection, quiet_since);
+    }
+    let quiet_since = connection.idle_since()?;
     Some(EvictionRank {
         client: idle_client(connection, reason),
-        idle_since,
+        quiet_since,
+    })
+}
+
+/// Returns the rank of a connection on which a part of a request has arrived. Such a request is
+/// rejected, which is possible only if nothing else is still to be written.
+fn reading_rank(connection: &Connection, quiet_since: Instant) -> Option<EvictionRank> {
+    if !connection.is_flushed() {
+        return None;
+    }
+    let client = if quiet_since.elapsed() < ARRIVAL_DELAY {
+        ClientActivity::Sending
+    } else {
+        ClientActivity::Stalled
+    };
+    Some(EvictionRank {
+        client,
+        quiet_since,
     })
 }
 
-/// Returns what is known of the client of an idle connection.
-fn idle_client(connection: &Connection, reason: EvictionReason) -> IdleClient {
-    let is_new = connection.age() < FIRST_REQUEST_DELAY;
+/// Returns what the client of an idle connection has done.
+fn idle_client(connection: &Connection, reason: EvictionReason) -> ClientActivity {
+    let is_new = connection.age() < ARRIVAL_DELAY;
     if connection.has_read_request_head() {
-        IdleClient::Served
+        ClientActivity::Served
     } else if is_new && reason == EvictionReason::OutOfDescriptors {
-        IdleClient::New
+        ClientActivity::New
     } else {
-        IdleClient::Silent
+        ClientActivity::Silent
     }
 }
--- a/crates/node/src/downstream/http_server.rs
+++ b/crates/node/src/downstream/http_server.rs
@@ -1,11 +1,11 @@
 //! Serves HTTP/1.1 on accepted connections.
 
-use super::connection::Connection;
+use super::connection::{Connection, RequestPart};
 use super::connection_registry::ConnectionRegistry;
 use super::rejection::Rejection;
 use super::request_body::BodyReader;
 use super::request_handler::RequestHandler;
-use super::response::FullResponse;
+use super::response::{self, FullResponse};
 use super::shutdown_phase::ShutdownPhase;
 use super::timeouts::READ_TIMEOUT;
 use crate::limits::READ_BUFFER_BYTES;
@@ -66,6 +66,7 @@
         tokio::select! {
             biased;
             () = self.serve_http(socket, connection) => {}
+            () = self.reject_evicted_head(connection) => {}
             () = connection.abort_requested() => {}
             () = connection.client_disconnected() => {}
         }
@@ -91,6 +92,14 @@
         let _ = http.await;
     }
 
+    /// Waits until the connection is evicted while a request's head is being read, and rejects the
+    /// request. The HTTP layer cannot respond, since it has not read the whole head.
+    async fn reject_evicted_head(&self, connection: &Connection) {
+        connection.evicted_while_reading(RequestPart::Head).await;
+        let response = self.handler.shed_response();
+        connection.send_final_response(&response::last_response_bytes(&response));
+    }
+
     /// Handles one request, and returns the response that is written to the client.
     async fn respond(
         &self,
@@ -105,7 +114,8 @@
             .as_ref()
             .err()
             .is_none_or(Rejection::keeps_connection);
-        let is_last = !keeps_connection || self.phase.get().is_draining();
+        let is_closing = connection.closing_since().is_some();
+        let is_last = !keeps_connection || is_closing || self.phase.get().is_draining();
         let mut response = result.unwrap_or_else(Rejection::into_response);
         if is_last {
             connection.end_last_request();
--- a/crates/node/src/downstream/listener.rs
+++ b/crates/node/src/downstream/listener.rs
@@ -123,7 +123,7 @@
         sleep(RETRY_INTERVAL).await;
     }
 
-    /// Evicts idle connections until the registry is not full. Tries again after each change of the
+    /// Evicts connections until the registry is not full. Tries again after each change of the
     /// registry, and after [`RETRY_INTERVAL`] without one, since a connection that takes too long
     /// to close is aborted only by a later eviction.
     async fn wait_for_capacity(&mut self) {
--- a/crates/node/src/downstream/listener/tests.rs
+++ b/crates/node/src/downstream/listener/tests.rs
@@ -1,11 +1,14 @@
 //! Tests of the accept errors that Linux documents. A fake listener returns them, since a test
 //! cannot exhaust a system resource without affecting all other processes on the machine.
 
+mod full_registry;
+
 use super::{Acceptor, HttpServer, Listener};
 use crate::clock::Clock;
-use crate::downstream::{Downstream, DownstreamOptions};
+use crate::downstream::{ClassOptions, Downstream, DownstreamOptions};
 use crate::memory_budget::MemoryBudget;
 use crate::socket::fault_injection::InjectedFaults;
+use ottertiller_balancer::Idempotency;
 use rustix::io::Errno;
 use std::cell::Cell;
 use std::io::{self, ErrorKind};
@@ -135,10 +138,15 @@
 }
 
 /// Builds the server as the node does, but without a driver. Readiness checks get status 200.
-fn server() -> Rc<HttpServer> {
+fn server(max_connections: usize) -> Rc<HttpServer> {
+    let class = ClassOptions {
+        name: "correct".to_owned(),
+        idempotency: Idempotency::NotIdempotent,
+        deadline: Duration::from_secs(1),
+    };
     let options = DownstreamOptions {
-        max_connections: MAX_CONNECTIONS,
-        classes: Vec::new(),
+        max_connections,
+        classes: vec![class],
         tenants: Vec::new(),
         max_retry_after: None,
     };
@@ -168,7 +176,7 @@
         let (listener, address) = bind().await;
         let errors = AcceptErrors::default();
         let failing = FailingListener::new(listener, errno, errors.clone());
-        let mut acceptor = Acceptor::new(failing, server());
+        let mut acceptor = Acceptor::new(failing, server(MAX_CONNECTIONS));
         let running = spawn_local(async move { acceptor.run().await });
         test(address, errors).await;
         running.abort();
@@ -242,7 +250,9 @@
             let errors = AcceptErrors::default();
             errors.per_connection.set(3);
             let failing = FailingListener::new(listener, errno, errors.clone());
-            Acceptor::new(failing, server()).finish().await;
+            Acceptor::new(failing, server(MAX_CONNECTIONS))
+                .finish()
+                .await;
             for client in &mut clients {
                 assert_eq!(client.request().await, RequestEnd::Served, "{errno:?}");
             }
--- /dev/null
+++ b/crates/node/src/downstream/listener/tests/full_registry.rs
@@ -0,0 +1,137 @@
+//! Tests of new clients that connect while the registry is full.
+
+use super::{Acceptor, Client, RequestEnd, bind, in_virtual_time, server};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+const MAX_CONNECTIONS: usize = 4;
+/// A request is lost if it has no final response this long after the time that its client waits:
+/// half a second, and the 50 ms by which every limit is longer on sockets.
+const RESPONSE_GRACE: Duration = Duration::from_millis(550);
+/// Longer than the next bytes of a request may take to arrive before it counts as stalled.
+const STALL_TIME: Duration = Duration::from_millis(300);
+const HALF_HEAD: &str = "POST /correct/1 HTTP/1.1\r\nHost: service.internal\r\nX-Call-";
+const HALF_BODY: &str = "POST /correct/1 HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: 1f\r\n\
+    X-Budget-Ms: 600\r\nContent-Length: 8\r\n\r\nhalf";
+const SECOND_HALF: &str = "half";
+
+/// Runs a test against an acceptor that holds at most [`MAX_CONNECTIONS`].
+fn with_small_registry(test: impl AsyncFnOnce(SocketAddr)) {
+    in_virtual_time(async {
+        let (listener, address) = bind().await;
+        let mut acceptor = Acceptor::new(listener, server(MAX_CONNECTIONS));
+        let running = spawn_local(async move { acceptor.run().await });
+        test(address).await;
+        running.abort();
+    });
+}
+
+/// Connects a client that sends these bytes.
+async fn connect_and_send(address: SocketAddr, bytes: &str) -> Client {
+    let mut client = Client::connect(address).await;
+    send(&mut client, bytes).await;
+    client
+}
+
+async fn send(client: &mut Client, bytes: &str) {
+    let written = client.0.write_all(bytes.as_bytes()).await;
+    written.expect("the node is connected");
+}
+
+/// Sends a request, and returns how it ends within [`RESPONSE_GRACE`].
+async fn request_in_time(client: &mut Client) -> RequestEnd {
+    let request = timeout(RESPONSE_GRACE, client.request()).await;
+    request.unwrap_or(RequestEnd::NotServed)
+}
+
+/// Reads what the client is sent until the connection ends, within [`RESPONSE_GRACE`].
+async fn read_to_end(client: &mut Client) -> String {
+    let mut text = String::new();
+    let read = timeout(RESPONSE_GRACE, client.0.read_to_string(&mut text)).await;
+    let result = read.expect("the connection should end in time");
+    result.expect("the node ends the connection without a reset");
+    text
+}
+
+/// Guards against: clients that stop within a request kept every place until the read timeout, and
+/// requests on new connections got no response in time.
+#[test]
+fn stopped_requests_do_not_block_new_clients() {
+    for part in [HALF_HEAD, HALF_BODY] {
+        with_small_registry(async |address| {
+            let mut stopped = Vec::new();
+            for _ in 0..2 * MAX_CONNECTIONS {
+                stopped.push(connect_and_send(address, part).await);
+            }
+            let mut client = Client::connect(address).await;
+            assert_eq!(
+                request_in_time(&mut client).await,
+                RequestEnd::Served,
+                "{part:?}"
+            );
+        });
+    }
+}
+
+/// The rejection is a final response, which a client that was only slow needs. Its request surely
+/// never ran.
+#[test]
+fn evicted_requests_are_rejected_before_the_connection_ends() {
+    for part in [HALF_HEAD, HALF_BODY] {
+        with_small_registry(async |address| {
+            let mut first = connect_and_send(address, part).await;
+            let mut others = Vec::new();
+            for _ in 0..MAX_CONNECTIONS {
+                others.push(connect_and_send(address, part).await);
+            }
+            let response = read_to_end(&mut first).await;
+            assert!(
+                response.starts_with("HTTP/1.1 503 Service Unavailable\r\n"),
+                "{part:?}: {response:?}"
+            );
+            assert!(response.contains("connection: close\r\n"), "{response:?}");
+            assert!(response.ends_with("\r\n\r\n"), "{response:?}");
+        });
+    }
+}
+
+#[test]
+fn stalled_requests_are_evicted_before_served_clients() {
+    with_small_registry(async |address| {
+        let mut served = Client::connect_and_request(address).await;
+        let mut stopped = Vec::new();
+        for _ in 1..MAX_CONNECTIONS {
+            stopped.push(connect_and_send(address, HALF_HEAD).await);
+        }
+        sleep(STALL_TIME).await;
+        let mut new = Client::connect(address).await;
+        assert_eq!(request_in_time(&mut new).await, RequestEnd::Served, "new");
+        assert_eq!(
+            request_in_time(&mut served).await,
+            RequestEnd::Served,
+            "served before"
+        );
+    });
+}
+
+#[test]
+fn request_whose_rest_has_arrived_is_not_evicted() {
+    with_small_registry(async |address| {
+        let mut slow = connect_and_send(address, HALF_BODY).await;
+        let mut stopped = Vec::new();
+        for _ in 1..MAX_CONNECTIONS {
+            stopped.push(connect_and_send(address, HALF_HEAD).await);
+        }
+        sleep(STALL_TIME).await;
+        send(&mut slow, SECOND_HALF).await;
+        let mut new = Client::connect(address).await;
+        assert_eq!(request_in_time(&mut new).await, RequestEnd::Served);
+        // There is no driver, so a request that was read completely fails.
+        let mut status = [0; 12];
+        slow.0.read_exact(&mut status).await.expect("a response");
+        assert_eq!(status.as_slice(), b"HTTP/1.1 502");
+    });
+}
--- a/crates/node/src/downstream/rejection.rs
+++ b/crates/node/src/downstream/rejection.rs
@@ -8,8 +8,8 @@
 pub(super) enum Rejection {
     /// The request does not follow the protocol, or was not read in time.
     Invalid(RequestError),
-    /// The node cannot serve the request now: there is no memory for its body, or the shutdown has
-    /// reached the phase that sheds requests.
+    /// The node cannot serve the request now: there is no memory for its body, its connection is
+    /// evicted, or the shutdown has reached the phase that sheds requests.
     Shed {
         /// The time after which the client may retry, if it is given one.
         retry_after: Option<Duration>,
--- a/crates/node/src/downstream/request_body.rs
+++ b/crates/node/src/downstream/request_body.rs
@@ -1,6 +1,6 @@
 //! Reads the bodies of requests, and discards those of rejected ones.
 
-use super::connection::Connection;
+use super::connection::{Connection, RequestPart};
 use super::request_error::RequestError;
 use crate::limits::MAX_BODY_BYTES;
 use crate::memory_budget::MemoryLease;
@@ -17,6 +17,14 @@
 /// `timeouts::LINGER_TIMEOUT`, after which a closing connection is aborted.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Why a body could not be read.
+pub(super) enum BodyError {
+    /// The request is invalid.
+    Invalid(RequestError),
+    /// The connection was evicted to make room.
+    Evicted,
+}
+
 /// Reads the body of the request whose head was last read on a connection.
 pub(super) struct BodyReader<'a> {
     connection: &'a Connection,
@@ -37,13 +45,14 @@
     /// # Errors
     ///
     /// Returns [`RequestError::ReadTimeout`] if the deadline passes, and
-    /// [`RequestError::IncompleteBody`] if the body cannot be read or has another length.
+    /// [`RequestError::IncompleteBody`] if the body cannot be read or has another length. Returns
+    /// [`BodyError::Evicted`] if the connection is evicted before the body has arrived.
     pub(super) async fn read(
         &self,
         mut body: Incoming,
         length: usize,
         lease: MemoryLease,
-    ) -> Result<Bytes, RequestError> {
+    ) -> Result<Bytes, BodyError> {
         let content = match length {
             0 => Bytes::new(),
             _ => lease.attach_to(self.read_all(&mut body, length).await?),
@@ -53,7 +62,7 @@
     }
 
     /// Reads a body of `length` bytes to its end.
-    async fn read_all(&self, body: &mut Incoming, length: usize) -> Result<Bytes, RequestError> {
+    async fn read_all(&self, body: &mut Incoming, length: usize) -> Result<Bytes, BodyError> {
         let mut content = BytesMut::with_capacity(length);
         while let Some(frame) = self.next_frame(body).await? {
             if let Ok(data) = frame.into_data() {
@@ -61,18 +70,32 @@
             }
         }
         if content.len() != length {
-            return Err(RequestError::IncompleteBody);
+            return Err(BodyError::Invalid(RequestError::IncompleteBody));
         }
         Ok(content.freeze())
     }
 
     /// Reads the next frame of a body. Returns `None` at its end.
-    async fn next_frame(&self, body: &mut Incoming) -> Result<Option<Frame<Bytes>>, RequestError> {
-        timeout_at(self.deadline, body.frame())
-            .await
+    async fn next_frame(&self, body: &mut Incoming) -> Result<Option<Frame<Bytes>>, BodyError> {
+        // Biased, so that the bytes that have arrived are read before the request is given up.
+        let frame = tokio::select! {
+            biased;
+            frame = timeout_at(self.deadline, body.frame()) => frame,
+            () = self.connection.evicted_while_reading(RequestPart::Body) => {
+                return Err(BodyError::Evicted);
+            }
+        };
+        frame
             .map_err(|_| RequestError::ReadTimeout)?
             .transpose()
-            .map_err(|_| RequestError::IncompleteBody)
+            .map_err(|_| BodyError::Invalid(RequestError::IncompleteBody))
+    }
+}
+
+impl From<RequestError> for BodyError {
+    /// The request is invalid.
+    fn from(error: RequestError) -> Self {
+        BodyError::Invalid(error)
     }
 }
 
--- a/crates/node/src/downstream/request_handler.rs
+++ b/crates/node/src/downstream/request_handler.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Returns the response to a request that is not served, and that its client may safely retry.
+    pub(super) fn shed_response(&self) -> FullResponse {
+        self.admission.shed().into_response()
+    }
+
     /// Checks the head of a request, and returns its route. Reads nothing of the body.
     fn route(&self, head: Parts, body: &Incoming) -> Result<Route, RequestError> {
         let body_length = request_parser::body_length(&head, body)?;
--- a/crates/node/src/downstream/response.rs
+++ b/crates/node/src/downstream/response.rs
@@ -41,6 +41,19 @@
     }
 }
 
+/// Returns the bytes of a response without a body that is the last on its connection.
+pub(super) fn last_response_bytes(response: &FullResponse) -> Vec<u8> {
+    let mut bytes = format!("HTTP/1.1 {}\r\n", response.status()).into_bytes();
+    for (name, value) in response.headers() {
+        bytes.extend_from_slice(name.as_str().as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(value.as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"connection: close\r\ncontent-length: 0\r\n\r\n");
+    bytes
+}
+
 /// Returns a response with this status and body.
 fn with_body(status: StatusCode, body: Bytes) -> FullResponse {
     let mut response = Response::new(Full::new(body));
--- a/crates/node/src/socket/handle.rs
+++ b/crates/node/src/socket/handle.rs
@@ -48,6 +48,27 @@
         }
     }
 
+    /// Returns when bytes last arrived.
+    pub(crate) fn last_byte_at(&self) -> Option<Instant> {
+        self.0.upgrade()?.last_byte_at.get()
+    }
+
+    /// Returns whether the stream has accepted every byte that hyper wants to write.
+    pub(crate) fn is_flushed(&self) -> bool {
+        self.0
+            .upgrade()
+            .is_none_or(|shared| shared.is_flushed.get())
+    }
+
+    /// Writes bytes past hyper, as many as the stream accepts now. The caller must end the
+    /// connection, and must have checked [`Self::is_flushed`].
+    pub(crate) fn write_past_hyper(&self, bytes: &[u8]) {
+        if let Some(shared) = self.0.upgrade() {
+            // An error means that the peer is gone.
+            let _ = system_calls::write(&shared.stream, bytes);
+        }
+    }
+
     /// Returns whether the stream is open and has nothing to read.
     ///
     /// The kernel is asked, because the runtime's readiness may be one iteration of its event loop
--- a/crates/node/src/socket/shared.rs
+++ b/crates/node/src/socket/shared.rs
@@ -16,6 +16,10 @@
     pub stream: TcpStream,
     /// When the first bytes arrived since the stream was opened or this field was reset.
     pub first_byte_at: Cell<Option<Instant>>,
+    /// When bytes last arrived.
+    pub last_byte_at: Cell<Option<Instant>>,
+    /// Whether the stream has accepted every byte that hyper wants to write.
+    pub is_flushed: Cell<bool>,
     /// Bytes that a handle has read and hyper has not asked for yet.
     pub read_ahead: ReadAheadBuffer,
 }
@@ -26,15 +30,19 @@
         SharedSocket {
             stream,
             first_byte_at: Cell::default(),
+            last_byte_at: Cell::default(),
+            is_flushed: Cell::new(true),
             read_ahead: ReadAheadBuffer::default(),
         }
     }
 
-    /// Reads the bytes that have arrived into the buffer, and records when the first ones arrived.
+    /// Reads the bytes that have arrived into the buffer, and records when they arrived.
     pub(super) fn read(&self, buffer: &mut [u8]) -> io::Result<usize> {
         let count = system_calls::read(&self.stream, buffer)?;
-        if count > 0 && self.first_byte_at.get().is_none() {
-            self.first_byte_at.set(Some(Instant::now()));
+        if count > 0 {
+            let now = Some(Instant::now());
+            self.last_byte_at.set(now);
+            self.first_byte_at.set(self.first_byte_at.get().or(now));
         }
         Ok(count)
     }
--- a/crates/node/src/socket/stream.rs
+++ b/crates/node/src/socket/stream.rs
@@ -30,6 +30,7 @@
         cx: &mut Context<'_>,
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
+        self.0.is_flushed.set(false);
         loop {
             ready!(self.0.stream.poll_write_ready(cx))?;
             match write(&self.0.stream) {
@@ -86,7 +87,9 @@
         true
     }
 
+    /// Hyper calls this after it has written all that it has buffered.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.is_flushed.set(true);
         Poll::Ready(Ok(()))
     }
 
--- a/crates/node/tests/node/slow_clients.rs
+++ b/crates/node/tests/node/slow_clients.rs
@@ -112,3 +112,28 @@
     }
     drop(silent);
 }
+
+/// Guards against: clients that stop within a request kept every place until the read timeout, and
+/// requests on new connections got no response in time.
+#[test]
+fn stopped_requests_are_rejected_to_make_room_for_new_clients() {
+    let endpoint = ScriptedEndpoint::serving("");
+    // Room for at most six client connections, as above.
+    let (node, _discovery) = NodeSetup::default().sockets(60).start(&[&endpoint]);
+    let body_headers = format!("Content-Length: 5\r\n{}", common_headers(5000));
+    let incomplete_body = request_head("POST /correct/1", &body_headers) + "hal";
+    let mut stopped = Vec::new();
+    for number in 0..40 {
+        let mut client = node.client();
+        let bytes = [INCOMPLETE_HEAD, &incomplete_body][number % 2];
+        client.write(bytes.as_bytes());
+        stopped.push(client);
+    }
+    assert_eq!(node.client().request_idempotent().status(), 200);
+    let first_responses: Vec<_> = stopped[..4]
+        .iter_mut()
+        .map(|client| client.receive_response().status())
+        .collect();
+    assert_eq!(first_responses, [503; 4]);
+    assert_eq!(endpoint.request_count(), 1);
+}
