Let new clients displace others only once they have sent something

Callers saw: if clients connected while every place was taken, the connection of another new client was closed before its first request had arrived, and that request got no answer. Cause: to make room, the newest silent client was closed before those that were served. Change: accepted connections wait outside the registry. The first that has sent something is served next, and displaces a silent, stalled, served or sending client, never a new one.

--- a/crates/node/src/downstream/connection_registry.rs
+++ b/crates/node/src/downstream/connection_registry.rs
@@ -46,6 +46,11 @@
         self.connections.borrow().len() >= self.max_connections
     }
 
+    /// Returns the number of connections at which the registry counts as full.
+    pub(super) fn max_connections(&self) -> usize {
+        self.max_connections
+    }
+
     /// Notifies the registry that a connection has become idle or is closing. If the registry is
     /// full, the connection may now be evicted.
     pub(super) fn notify_evictable(&self) {
--- a/crates/node/src/downstream/eviction.rs
+++ b/crates/node/src/downstream/eviction.rs
@@ -15,9 +15,13 @@
 /// Why a connection is evicted. The order of eviction depends on it.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(super) enum EvictionReason {
-    /// A client has connected while the registry is full. Silent clients are evicted first, even
-    /// new ones, so that many of them cannot displace clients that are served.
-    RegistryFull,
+    /// A client has connected while the registry is full. New clients are not evicted, since they
+    /// turn into other ones soon.
+    RegistryFull {
+        /// Whether the client has sent something. If not, it displaces only silent and stalled
+        /// clients, so that many silent clients cannot displace those that are served.
+        client_has_sent: bool,
+    },
     /// The process has no file descriptor left. New clients are evicted last.
     OutOfDescriptors,
 }
@@ -72,9 +76,11 @@
 /// Evicts the first connection, in the order of eviction, that has nothing to read.
 fn evict_first<'a>(connections: impl Iterator<Item = &'a Rc<Connection>>, reason: EvictionReason) {
     let mut candidates: Vec<_> = connections
-        .filter_map(|connection| Some((rank(connection, reason)?, connection)))
+        .filter_map(|connection| Some((rank(connection)?, connection)))
         .collect();
     candidates.sort_unstable_by_key(|(rank, _)| *rank);
+    let last = candidates.last().map(|(rank, _)| rank.client);
+    candidates.retain(|(rank, _)| may_evict(rank.client, reason, last));
     // Each check makes a system call, so connections are checked only until one can be evicted.
     let first = candidates
         .iter()
@@ -84,14 +90,27 @@
     }
 }
 
+/// Returns whether a client may be evicted for this reason. `last` is the client that would be
+/// evicted last. If that is a new one, it may soon turn out to be silent, and can then be evicted
+/// instead of one that is served.
+fn may_evict(client: ClientActivity, reason: EvictionReason, last: Option<ClientActivity>) -> bool {
+    match reason {
+        EvictionReason::OutOfDescriptors => true,
+        EvictionReason::RegistryFull { client_has_sent } => {
+            let has_new = last == Some(ClientActivity::New);
+            client <= ClientActivity::Stalled || (client_has_sent && !has_new)
+        }
+    }
+}
+
 /// Returns the rank of a connection, if it can be evicted.
-fn rank(connection: &Connection, reason: EvictionReason) -> Option<EvictionRank> {
+fn rank(connection: &Connection) -> Option<EvictionRank> {
     if let Some(quiet_since) = connection.reading_request_since() {
         return reading_rank(connection, quiet_since);
     }
     let quiet_since = connection.idle_since()?;
     Some(EvictionRank {
-        client: idle_client(connection, reason),
+        client: idle_client(connection)?,
         quiet_since,
     })
 }
@@ -113,14 +132,16 @@
     })
 }
 
-/// Returns what the client of an idle connection has done.
-fn idle_client(connection: &Connection, reason: EvictionReason) -> ClientActivity {
-    let is_new = connection.age() < ARRIVAL_DELAY;
+/// Returns what the client of an idle connection has done, or `None` if its first bytes have
+/// arrived but have not been read.
+fn idle_client(connection: &Connection) -> Option<ClientActivity> {
     if connection.has_read_request_head() {
-        ClientActivity::Served
-    } else if is_new && reason == EvictionReason::OutOfDescriptors {
-        ClientActivity::New
+        Some(ClientActivity::Served)
+    } else if connection.age() >= ARRIVAL_DELAY {
+        Some(ClientActivity::Silent)
     } else {
-        ClientActivity::Silent
+        connection
+            .has_nothing_to_read()
+            .then_some(ClientActivity::New)
     }
 }
--- a/crates/node/src/downstream/listener.rs
+++ b/crates/node/src/downstream/listener.rs
@@ -2,9 +2,12 @@
 
 mod accept_error;
 mod pause_log;
+mod waiting_connections;
 
+use super::connection_registry::ConnectionRegistry;
 use super::eviction::EvictionReason;
 use super::http_server::HttpServer;
+use super::timeouts::READ_TIMEOUT;
 use crate::logging::log_rate_limited;
 use accept_error::AcceptErrorKind;
 use pause_log::PauseLog;
@@ -14,10 +17,20 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
+use waiting_connections::WaitingConnections;
 
 /// How long to wait after a failed accept, and how long to wait at most for a change of a full
 /// registry before eviction is tried again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
+/// How long the first connection may wait for its client while no further one is accepted because
+/// too many wait.
+const MIN_WAIT: Duration = Duration::from_millis(20);
+/// The smallest limit of accepted connections that wait for room.
+const MIN_WAITING: usize = 4;
+/// The greatest limit of accepted connections that wait for room.
+const MAX_WAITING: usize = 16;
+/// The number of connections in the registry for each one that may wait.
+const WAITING_DIVISOR: usize = 16;
 /// The greatest number of connections that are accepted from the kernel's queue before the listener
 /// is closed: as many as the queue holds. Without a limit, clients that reconnect at once could
 /// keep the queue filled, and the shutdown would never end.
@@ -47,19 +60,21 @@
 pub(super) struct Acceptor<L> {
     listener: L,
     server: Rc<HttpServer>,
-    /// An accepted connection that waits until the registry is not full. It is kept here to survive
-    /// the cancellation of [`Self::run`], since its client may have sent a request already.
-    pending: Option<TcpStream>,
+    /// The accepted connections that wait until the registry is not full. They are kept here to
+    /// survive the cancellation of [`Self::run`], since their clients may have sent requests.
+    waiting: WaitingConnections,
     pause_log: PauseLog,
 }
 
 impl<L: Listener> Acceptor<L> {
     /// Creates an acceptor for the listener's connections.
     pub(super) fn new(listener: L, server: Rc<HttpServer>) -> Self {
+        let max_connections = server.registry().max_connections();
+        let max_waiting = (max_connections / WAITING_DIVISOR).clamp(MIN_WAITING, MAX_WAITING);
         Acceptor {
             listener,
             server,
-            pending: None,
+            waiting: WaitingConnections::new(max_waiting),
             pause_log: PauseLog::default(),
         }
     }
@@ -67,21 +82,29 @@
     /// Accepts and serves connections. Never returns, but may be cancelled and called again.
     pub(super) async fn run(&mut self) {
         loop {
-            if self.pending.is_none() {
-                self.accept().await;
-            }
-            if self.pending.is_some() {
-                self.wait_for_capacity().await;
+            // Biased, so that a client that has sent a request is found behind silent ones.
+            tokio::select! {
+                biased;
+                result = self.listener.accept(), if !self.waiting.exceeds_limit() => {
+                    match result {
+                        Ok(stream) => self.waiting.push(stream),
+                        Err(error) => self.recover(error).await,
+                    }
+                }
+                () = room_or_request(self.server.registry(), &self.waiting),
+                    if !self.waiting.is_empty() => {}
             }
-            self.serve_pending();
+            self.serve_waiting();
         }
     }
 
-    /// Serves the connections that are pending or in the kernel's accept queue, even if the
-    /// registry is full, and closes the listener. Clients may have sent requests on queued
-    /// connections, which the close would reset.
+    /// Serves the connections that wait or are in the kernel's accept queue, even if the registry
+    /// is full, and closes the listener. Clients may have sent requests on queued connections,
+    /// which the close would reset.
     pub(super) async fn finish(mut self) {
-        self.serve_pending();
+        while let Some(stream) = self.waiting.take_next() {
+            self.server.serve(stream);
+        }
         let mut failures = 0;
         for _ in 0..MAX_QUEUED_CONNECTIONS {
             // An accept waits only if the queue is empty. The zero timeout ends this wait.
@@ -99,14 +122,6 @@
         }
     }
 
-    /// Accepts one connection and makes it the pending one, or recovers from a failure.
-    async fn accept(&mut self) {
-        match self.listener.accept().await {
-            Ok(stream) => self.pending = Some(stream),
-            Err(error) => self.recover(error).await,
-        }
-    }
-
     /// Logs an accept error, evicts a connection if that helps, and waits before the next accept.
     async fn recover(&self, error: io::Error) {
         log_rate_limited(format_args!("cannot accept a connection: {error}"));
@@ -123,26 +138,48 @@
         sleep(RETRY_INTERVAL).await;
     }
 
-    /// Evicts connections until the registry is not full. Tries again after each change of the
-    /// registry, and after [`RETRY_INTERVAL`] without one, since a connection that takes too long
-    /// to close is aborted only by a later eviction.
-    async fn wait_for_capacity(&mut self) {
-        let registry = self.server.registry();
-        while registry.is_full() {
+    /// Serves the connections that wait, as far as there is room, and makes room for the others.
+    fn serve_waiting(&mut self) {
+        let server = &self.server;
+        let registry = server.registry();
+        while !registry.is_full() {
+            match self.waiting.take_next() {
+                Some(stream) => server.serve(stream),
+                None => return self.pause_log.record_room(),
+            }
+        }
+        self.waiting.close_silent(READ_TIMEOUT);
+        if self.waiting.is_empty() {
+            return self.pause_log.record_room();
+        }
+        let client_has_sent = self.waiting.has_sender();
+        if client_has_sent {
             self.pause_log.record_wait(registry);
-            registry.evict_one(EvictionReason::RegistryFull);
-            let _ = timeout(RETRY_INTERVAL, registry.changed()).await;
+        } else {
+            self.pause_log.record_room();
         }
-        self.pause_log.record_room();
+        registry.evict_one(EvictionReason::RegistryFull { client_has_sent });
+        self.shorten_queue();
     }
 
-    /// Serves the pending connection, if there is one.
-    fn serve_pending(&mut self) {
-        if let Some(stream) = self.pending.take() {
-            self.server.serve(stream);
+    /// Closes the first connection that waits if too many do and its client has sent nothing.
+    fn shorten_queue(&mut self) {
+        if self.waiting.exceeds_limit() {
+            self.waiting.close_first_if_silent(MIN_WAIT);
         }
     }
 }
 
+/// Waits until a connection that waits may be served: after a change of the registry, if its client
+/// sends something, or after [`RETRY_INTERVAL`], since a connection that takes too long to close is
+/// aborted only by a later eviction.
+async fn room_or_request(registry: &ConnectionRegistry, waiting: &WaitingConnections) {
+    tokio::select! {
+        () = registry.changed() => {}
+        () = waiting.client_sends() => {}
+        () = sleep(RETRY_INTERVAL) => {}
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/downstream/listener/tests/full_registry.rs
+++ b/crates/node/src/downstream/listener/tests/full_registry.rs
@@ -16,6 +16,7 @@
 const HALF_HEAD: &str = "POST /correct/1 HTTP/1.1\r\nHost: service.internal\r\nX-Call-";
 const HALF_BODY: &str = "POST /correct/1 HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: 1f\r\n\
     X-Budget-Ms: 600\r\nContent-Length: 8\r\n\r\nhalf";
+const READINESS_CHECK: &str = "GET /health/ready HTTP/1.1\r\nHost: service.internal\r\n\r\n";
 const SECOND_HALF: &str = "half";
 
 /// Runs a test against an acceptor that holds at most [`MAX_CONNECTIONS`].
@@ -41,6 +42,15 @@
     written.expect("the node is connected");
 }
 
+/// Reads the status line's beginning of a response that comes within [`RESPONSE_GRACE`].
+async fn read_status(client: &mut Client) -> String {
+    let mut status = [0; 12];
+    let read = timeout(RESPONSE_GRACE, client.0.read_exact(&mut status)).await;
+    let result = read.expect("a response should come in time");
+    result.expect("the connection should not end before");
+    String::from_utf8_lossy(&status).into_owned()
+}
+
 /// Sends a request, and returns how it ends within [`RESPONSE_GRACE`].
 async fn request_in_time(client: &mut Client) -> RequestEnd {
     let request = timeout(RESPONSE_GRACE, client.request()).await;
@@ -130,8 +140,23 @@
         let mut new = Client::connect(address).await;
         assert_eq!(request_in_time(&mut new).await, RequestEnd::Served);
         // There is no driver, so a request that was read completely fails.
-        let mut status = [0; 12];
-        slow.0.read_exact(&mut status).await.expect("a response");
-        assert_eq!(status.as_slice(), b"HTTP/1.1 502");
+        assert_eq!(read_status(&mut slow).await, "HTTP/1.1 502");
+    });
+}
+
+/// Guards against: the first request of a new client got no response, because its connection was
+/// closed to make room for another one before the request had arrived.
+#[test]
+fn new_clients_are_not_evicted_before_their_first_request() {
+    with_small_registry(async |address| {
+        let mut served = Vec::new();
+        for _ in 1..MAX_CONNECTIONS {
+            served.push(Client::connect_and_request(address).await);
+        }
+        let mut new = Client::connect(address).await;
+        let mut newest = connect_and_send(address, READINESS_CHECK).await;
+        assert_eq!(request_in_time(&mut new).await, RequestEnd::Served, "new");
+        let response = read_status(&mut newest).await;
+        assert_eq!(response, "HTTP/1.1 200", "newest");
     });
 }
--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -11,7 +11,7 @@
 
 pub(crate) use handle::SocketHandle;
 pub(crate) use stream::Socket;
-pub(crate) use system_calls::connect;
+pub(crate) use system_calls::{connect, is_readable};
 
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/socket/handle.rs
+++ b/crates/node/src/socket/handle.rs
@@ -80,8 +80,7 @@
         if !shared.read_ahead.is_empty() {
             return false;
         }
-        let peeked = system_calls::peek(&shared.stream);
-        peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+        !system_calls::is_readable(&shared.stream)
     }
 
     /// Waits until the peer has closed its side.
--- a/crates/node/src/socket/system_calls.rs
+++ b/crates/node/src/socket/system_calls.rs
@@ -27,10 +27,15 @@
 }
 
 /// Checks for a byte to read without consuming it. Fails with `WouldBlock` if there is none.
-pub(super) fn peek(stream: &TcpStream) -> io::Result<usize> {
+fn peek(stream: &TcpStream) -> io::Result<usize> {
     retry_if_interrupted(|| SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]))
 }
 
+/// Returns whether the stream has something to read: bytes, its end, or an error.
+pub(crate) fn is_readable(stream: &TcpStream) -> bool {
+    !peek(stream).is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+}
+
 /// Writes as many bytes as the stream accepts now, and returns their number.
 pub(super) fn write(stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
     retry_if_interrupted(|| stream.try_write(bytes))
