Shed requests on new connections while every place serves a request

Callers saw: while every place was taken by a request in flight, a request on a further connection got no answer until a place was free, which can be long after its deadline. Cause: accepts waited without a limit, and the request stayed unread in the kernel. Change: a client that has sent something and has waited 0.4 s (20 ms if too many wait) is served beyond the limit, within a bound; its request is shed with 503 and never forwarded.

--- a/crates/node/src/downstream/connection.rs
+++ b/crates/node/src/downstream/connection.rs
@@ -39,9 +39,19 @@
     Body,
 }
 
+/// What is done with the requests on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ServiceMode {
+    /// They are served.
+    Serve,
+    /// The first one is shed, and the connection ends after the response.
+    Shed,
+}
+
 /// A client's connection.
 pub(super) struct Connection {
     socket: SocketHandle,
+    mode: ServiceMode,
     accepted_at: Instant,
     /// Whether the complete head of a request has ever been read.
     has_read_request_head: Cell<bool>,
@@ -58,10 +68,11 @@
 
 impl Connection {
     /// Creates the state of a connection that has just been accepted.
-    pub(super) fn new(socket: SocketHandle) -> Self {
+    pub(super) fn new(socket: SocketHandle, mode: ServiceMode) -> Self {
         let accepted_at = Instant::now();
         Connection {
             socket,
+            mode,
             accepted_at,
             has_read_request_head: Cell::new(false),
             state: Cell::new(ConnectionState::Idle { since: accepted_at }),
@@ -185,6 +196,11 @@
         }
     }
 
+    /// Returns what is done with the requests.
+    pub(super) fn mode(&self) -> ServiceMode {
+        self.mode
+    }
+
     /// Returns the state.
     pub(super) fn state(&self) -> ConnectionState {
         self.state.get()
--- a/crates/node/src/downstream/connection_registry.rs
+++ b/crates/node/src/downstream/connection_registry.rs
@@ -51,6 +51,11 @@
         self.max_connections
     }
 
+    /// Returns whether the registry is at or above this many connections over its limit.
+    pub(super) fn exceeds_limit_by(&self, excess: usize) -> bool {
+        self.connections.borrow().len() >= self.max_connections + excess
+    }
+
     /// Notifies the registry that a connection has become idle or is closing. If the registry is
     /// full, the connection may now be evicted.
     pub(super) fn notify_evictable(&self) {
--- a/crates/node/src/downstream/http_server.rs
+++ b/crates/node/src/downstream/http_server.rs
@@ -1,5 +1,6 @@
 //! Serves HTTP/1.1 on accepted connections.
 
+pub(super) use super::connection::ServiceMode;
 use super::connection::{Connection, RequestPart};
 use super::connection_registry::ConnectionRegistry;
 use super::rejection::Rejection;
@@ -49,9 +50,9 @@
     }
 
     /// Serves a connection in a task of its own, until it ends.
-    pub(super) fn serve(self: &Rc<Self>, stream: TcpStream) {
+    pub(super) fn serve(self: &Rc<Self>, stream: TcpStream, mode: ServiceMode) {
         let (socket, handle) = Socket::new(stream);
-        let connection = Rc::new(Connection::new(handle));
+        let connection = Rc::new(Connection::new(handle, mode));
         let registration = self.registry.register(connection.clone());
         let server = self.clone();
         spawn_local(async move {
@@ -109,13 +110,17 @@
         // The rest of the request, which is its body, has to be read by this deadline.
         let read_deadline = connection.begin_request() + READ_TIMEOUT;
         let body_reader = BodyReader::new(connection, read_deadline);
-        let result = self.handler.handle(request, body_reader).await;
+        let result = match connection.mode() {
+            ServiceMode::Serve => self.handler.handle(request, body_reader).await,
+            ServiceMode::Shed => self.handler.shed(request),
+        };
         let keeps_connection = result
             .as_ref()
             .err()
             .is_none_or(Rejection::keeps_connection);
-        let is_closing = connection.closing_since().is_some();
-        let is_last = !keeps_connection || is_closing || self.phase.get().is_draining();
+        let is_ending =
+            connection.closing_since().is_some() || connection.mode() == ServiceMode::Shed;
+        let is_last = !keeps_connection || is_ending || self.phase.get().is_draining();
         let mut response = result.unwrap_or_else(Rejection::into_response);
         if is_last {
             connection.end_last_request();
--- a/crates/node/src/downstream/listener.rs
+++ b/crates/node/src/downstream/listener.rs
@@ -6,7 +6,7 @@
 
 use super::connection_registry::ConnectionRegistry;
 use super::eviction::EvictionReason;
-use super::http_server::HttpServer;
+use super::http_server::{HttpServer, ServiceMode};
 use super::timeouts::READ_TIMEOUT;
 use crate::logging::log_rate_limited;
 use accept_error::AcceptErrorKind;
@@ -22,8 +22,11 @@
 /// How long to wait after a failed accept, and how long to wait at most for a change of a full
 /// registry before eviction is tried again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
-/// How long the first connection may wait for its client while no further one is accepted because
-/// too many wait.
+/// How long a client that has sent something may wait for room before its request is shed. Every
+/// request is due a final response half a second after its deadline, however short that is.
+const MAX_WAIT: Duration = Duration::from_millis(400);
+/// How long the first connection may wait for room or for its client while no further one is
+/// accepted because too many wait.
 const MIN_WAIT: Duration = Duration::from_millis(20);
 /// The smallest limit of accepted connections that wait for room.
 const MIN_WAITING: usize = 4;
@@ -103,14 +106,14 @@
     /// which the close would reset.
     pub(super) async fn finish(mut self) {
         while let Some(stream) = self.waiting.take_next() {
-            self.server.serve(stream);
+            self.server.serve(stream, ServiceMode::Serve);
         }
         let mut failures = 0;
         for _ in 0..MAX_QUEUED_CONNECTIONS {
             // An accept waits only if the queue is empty. The zero timeout ends this wait.
             match timeout(Duration::ZERO, self.listener.accept()).await {
                 Ok(Ok(stream)) => {
-                    self.server.serve(stream);
+                    self.server.serve(stream, ServiceMode::Serve);
                     failures = 0;
                 }
                 Ok(Err(error)) if failures < MAX_CONSECUTIVE_FAILURES => {
@@ -144,7 +147,7 @@
         let registry = server.registry();
         while !registry.is_full() {
             match self.waiting.take_next() {
-                Some(stream) => server.serve(stream),
+                Some(stream) => server.serve(stream, ServiceMode::Serve),
                 None => return self.pause_log.record_room(),
             }
         }
@@ -162,11 +165,34 @@
         self.shorten_queue();
     }
 
-    /// Closes the first connection that waits if too many do and its client has sent nothing.
+    /// Closes the first connection that waits if too many do and its client has sent nothing, and
+    /// sheds requests that have waited for too long.
     fn shorten_queue(&mut self) {
         if self.waiting.exceeds_limit() {
             self.waiting.close_first_if_silent(MIN_WAIT);
         }
+        let max_excess = self.waiting.max_length();
+        while self.waiting.sender_has_waited(self.max_wait())
+            && !self.server.registry().exceeds_limit_by(max_excess)
+        {
+            self.shed_first_sender();
+        }
+    }
+
+    /// Returns how long a client that has sent something may wait for room now.
+    fn max_wait(&self) -> Duration {
+        if self.waiting.exceeds_limit() {
+            MIN_WAIT
+        } else {
+            MAX_WAIT
+        }
+    }
+
+    /// Serves the first connection whose client has sent something, and sheds its request.
+    fn shed_first_sender(&mut self) {
+        if let Some(stream) = self.waiting.take_sender() {
+            self.server.serve(stream, ServiceMode::Shed);
+        }
     }
 }
 
--- a/crates/node/src/downstream/listener/tests.rs
+++ b/crates/node/src/downstream/listener/tests.rs
@@ -7,6 +7,7 @@
 use crate::clock::Clock;
 use crate::downstream::{ClassOptions, Downstream, DownstreamOptions};
 use crate::memory_budget::MemoryBudget;
+use crate::message::DriverMessage;
 use crate::socket::fault_injection::InjectedFaults;
 use ottertiller_balancer::Idempotency;
 use rustix::io::Errno;
@@ -137,8 +138,18 @@
     }
 }
 
-/// Builds the server as the node does, but without a driver. Readiness checks get status 200.
+/// Builds the server as the node does, but without a driver. Readiness checks get status 200, and
+/// other requests fail.
 fn server(max_connections: usize) -> Rc<HttpServer> {
+    let (driver, _) = mpsc::channel(1);
+    server_with_driver(max_connections, driver)
+}
+
+/// Builds the server as the node does. Requests are passed to the driver with this inbox.
+fn server_with_driver(
+    max_connections: usize,
+    driver: mpsc::Sender<DriverMessage>,
+) -> Rc<HttpServer> {
     let class = ClassOptions {
         name: "correct".to_owned(),
         idempotency: Idempotency::NotIdempotent,
@@ -150,7 +161,6 @@
         tenants: Vec::new(),
         max_retry_after: None,
     };
-    let (driver, _) = mpsc::channel(1);
     let has_endpoint_list = Rc::new(Cell::new(true));
     let budget = MemoryBudget::new(BUDGET_BYTES);
     Downstream::new(Clock::start(), options, budget, driver, has_endpoint_list).server
--- a/crates/node/src/downstream/listener/tests/full_registry.rs
+++ b/crates/node/src/downstream/listener/tests/full_registry.rs
@@ -1,11 +1,14 @@
 //! Tests of new clients that connect while the registry is full.
 
-use super::{Acceptor, Client, RequestEnd, bind, in_virtual_time, server};
+use super::{Acceptor, Client, HttpServer, RequestEnd, bind};
+use super::{in_virtual_time, server, server_with_driver};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 const MAX_CONNECTIONS: usize = 4;
 /// A request is lost if it has no final response this long after the time that its client waits:
@@ -21,9 +24,14 @@
 
 /// Runs a test against an acceptor that holds at most [`MAX_CONNECTIONS`].
 fn with_small_registry(test: impl AsyncFnOnce(SocketAddr)) {
+    with_server(server(MAX_CONNECTIONS), test);
+}
+
+/// Runs a test against an acceptor for this server.
+fn with_server(server: Rc<HttpServer>, test: impl AsyncFnOnce(SocketAddr)) {
     in_virtual_time(async {
         let (listener, address) = bind().await;
-        let mut acceptor = Acceptor::new(listener, server(MAX_CONNECTIONS));
+        let mut acceptor = Acceptor::new(listener, server);
         let running = spawn_local(async move { acceptor.run().await });
         test(address).await;
         running.abort();
@@ -42,6 +50,14 @@
     written.expect("the node is connected");
 }
 
+/// Returns a complete request with this call id.
+fn complete_request(id: usize) -> String {
+    format!(
+        "POST /correct/1 HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: {id}\r\n\
+        X-Budget-Ms: 600\r\nContent-Length: 5\r\n\r\nsheet"
+    )
+}
+
 /// Reads the status line's beginning of a response that comes within [`RESPONSE_GRACE`].
 async fn read_status(client: &mut Client) -> String {
     let mut status = [0; 12];
@@ -160,3 +176,30 @@
         assert_eq!(response, "HTTP/1.1 200", "newest");
     });
 }
+
+/// Guards against: while every place was taken by a request that was served, requests on further
+/// connections got no response in time.
+#[test]
+fn requests_without_room_are_shed_in_time() {
+    // A driver that takes no message from its inbox, so that no request ends.
+    let (driver, _inbox) = mpsc::channel(MAX_CONNECTIONS);
+    with_server(
+        server_with_driver(MAX_CONNECTIONS, driver),
+        async |address| {
+            let mut served = Vec::new();
+            for id in 0..MAX_CONNECTIONS {
+                served.push(connect_and_send(address, &complete_request(id)).await);
+            }
+            let first_sent_at = Instant::now();
+            let mut waiting = Vec::new();
+            for id in 0..3 {
+                let request = complete_request(MAX_CONNECTIONS + id);
+                waiting.push(connect_and_send(address, &request).await);
+            }
+            for client in &mut waiting {
+                assert_eq!(read_status(client).await, "HTTP/1.1 503");
+            }
+            assert!(first_sent_at.elapsed() < RESPONSE_GRACE);
+        },
+    );
+}
--- a/crates/node/src/downstream/listener/waiting_connections.rs
+++ b/crates/node/src/downstream/listener/waiting_connections.rs
@@ -74,6 +74,11 @@
         self.connections.is_empty()
     }
 
+    /// Returns how many connections may stay.
+    pub(super) fn max_length(&self) -> usize {
+        self.max_length
+    }
+
     /// Returns whether more connections wait than may stay.
     pub(super) fn exceeds_limit(&self) -> bool {
         self.connections.len() > self.max_length
@@ -84,6 +89,18 @@
         self.first_sender().is_some()
     }
 
+    /// Returns whether a client that has sent something has waited for longer than this.
+    pub(super) fn sender_has_waited(&self, limit: Duration) -> bool {
+        self.first_sender()
+            .is_some_and(|index| self.connections[index].accepted_at.elapsed() > limit)
+    }
+
+    /// Removes the first connection whose client has sent something.
+    pub(super) fn take_sender(&mut self) -> Option<TcpStream> {
+        let index = self.first_sender()?;
+        Some(self.connections.remove(index)?.stream)
+    }
+
     /// Removes the connection that is served next: the first one whose client has sent something,
     /// or else the first one.
     pub(super) fn take_next(&mut self) -> Option<TcpStream> {
--- a/crates/node/src/downstream/request_handler.rs
+++ b/crates/node/src/downstream/request_handler.rs
@@ -66,6 +66,20 @@
         }
     }
 
+    /// Sheds a request, unless it is a readiness check.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rejection of the request.
+    pub(super) fn shed(&self, request: Request<Incoming>) -> Result<FullResponse, Rejection> {
+        let (head, body) = request.into_parts();
+        request_body::discard_in_background(body);
+        if head.uri.path() == readiness_check::PATH {
+            return Ok(self.readiness_check.response());
+        }
+        Err(self.admission.shed())
+    }
+
     /// Returns the response to a request that is not served, and that its client may safely retry.
     pub(super) fn shed_response(&self) -> FullResponse {
         self.admission.shed().into_response()
