Keep silent clients that wait from delaying requests behind them

Change: they displace nobody, leave a sixteenth of the places to clients that have sent something, and are closed at once if too many wait. No system call for those without an event.

--- a/crates/node/src/downstream/connection.rs
+++ b/crates/node/src/downstream/connection.rs
@@ -181,8 +181,9 @@
     }
 
     /// Completes when the client closes its side of the connection, or the connection fails, while
-    /// a request's body is being read or the request is being served. The caller then drops the connection together with the request. A
-    /// client that closes only its sending side counts as disconnected too.
+    /// a request's body is being read or the request is being served. The caller then drops the
+    /// connection together with the request. A client that closes only its sending side counts as
+    /// disconnected too.
     ///
     /// The state is checked once, when the close is noticed. If there is no such request then, this
     /// never completes, since the HTTP layer detects the close itself.
--- a/crates/node/src/downstream/connection_registry.rs
+++ b/crates/node/src/downstream/connection_registry.rs
@@ -51,6 +51,12 @@
         self.max_connections
     }
 
+    /// Returns how many connections may still be added.
+    pub(super) fn free_places(&self) -> usize {
+        let connections = self.connections.borrow().len();
+        self.max_connections.saturating_sub(connections)
+    }
+
     /// Returns whether the registry is at or above this many connections over its limit.
     pub(super) fn exceeds_limit_by(&self, excess: usize) -> bool {
         self.connections.borrow().len() >= self.max_connections + excess
--- a/crates/node/src/downstream/eviction.rs
+++ b/crates/node/src/downstream/eviction.rs
@@ -15,13 +15,9 @@
 /// Why a connection is evicted. The order of eviction depends on it.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(super) enum EvictionReason {
-    /// A client has connected while the registry is full. New clients are not evicted, since they
-    /// turn into other ones soon.
-    RegistryFull {
-        /// Whether the client has sent something. If not, it displaces only silent and stalled
-        /// clients, so that many silent clients cannot displace those that are served.
-        client_has_sent: bool,
-    },
+    /// A new client has sent something while the registry is full. Other new clients are not
+    /// evicted, since they turn into other ones soon.
+    RegistryFull,
     /// The process has no file descriptor left. New clients are evicted last.
     OutOfDescriptors,
 }
@@ -96,9 +92,8 @@
 fn may_evict(client: ClientActivity, reason: EvictionReason, last: Option<ClientActivity>) -> bool {
     match reason {
         EvictionReason::OutOfDescriptors => true,
-        EvictionReason::RegistryFull { client_has_sent } => {
-            let has_new = last == Some(ClientActivity::New);
-            client <= ClientActivity::Stalled || (client_has_sent && !has_new)
+        EvictionReason::RegistryFull => {
+            client <= ClientActivity::Stalled || last != Some(ClientActivity::New)
         }
     }
 }
--- a/crates/node/src/downstream/listener.rs
+++ b/crates/node/src/downstream/listener.rs
@@ -25,7 +25,7 @@
 /// How long a client that has sent something may wait for room before its request is shed. Every
 /// request is due a final response half a second after its deadline, however short that is.
 const MAX_WAIT: Duration = Duration::from_millis(400);
-/// How long the first connection may wait for room or for its client while no further one is
+/// How long a client that has sent something may wait for room while no further connection is
 /// accepted because too many wait.
 const MIN_WAIT: Duration = Duration::from_millis(20);
 /// The smallest limit of accepted connections that wait for room.
@@ -66,6 +66,8 @@
     /// The accepted connections that wait until the registry is not full. They are kept here to
     /// survive the cancellation of [`Self::run`], since their clients may have sent requests.
     waiting: WaitingConnections,
+    /// The number of places in the registry that are kept for clients that have sent something.
+    places_for_senders: usize,
     pause_log: PauseLog,
 }
 
@@ -73,11 +75,13 @@
     /// Creates an acceptor for the listener's connections.
     pub(super) fn new(listener: L, server: Rc<HttpServer>) -> Self {
         let max_connections = server.registry().max_connections();
-        let max_waiting = (max_connections / WAITING_DIVISOR).clamp(MIN_WAITING, MAX_WAITING);
+        let places_for_senders = (max_connections / WAITING_DIVISOR).min(MAX_WAITING);
+        let max_waiting = places_for_senders.max(MIN_WAITING);
         Acceptor {
             listener,
             server,
             waiting: WaitingConnections::new(max_waiting),
+            places_for_senders,
             pause_log: PauseLog::default(),
         }
     }
@@ -141,27 +145,31 @@
         sleep(RETRY_INTERVAL).await;
     }
 
-    /// Serves the connections that wait, as far as there is room, and makes room for the others.
+    /// Serves the connections that wait, as far as there is room, and makes room for the first other
+    /// one whose client has sent something.
     fn serve_waiting(&mut self) {
         let server = &self.server;
         let registry = server.registry();
+        self.waiting.update();
         while !registry.is_full() {
-            match self.waiting.take_next() {
+            let has_room_for_silent = registry.free_places() > self.places_for_senders;
+            let next = if has_room_for_silent {
+                self.waiting.take_next()
+            } else {
+                self.waiting.take_sender()
+            };
+            match next {
                 Some(stream) => server.serve(stream, ServiceMode::Serve),
-                None => return self.pause_log.record_room(),
+                None => break,
             }
         }
         self.waiting.close_silent(READ_TIMEOUT);
-        if self.waiting.is_empty() {
-            return self.pause_log.record_room();
-        }
-        let client_has_sent = self.waiting.has_sender();
-        if client_has_sent {
+        if self.waiting.has_sender() {
             self.pause_log.record_wait(registry);
+            registry.evict_one(EvictionReason::RegistryFull);
         } else {
             self.pause_log.record_room();
         }
-        registry.evict_one(EvictionReason::RegistryFull { client_has_sent });
         self.shorten_queue();
     }
 
@@ -169,7 +177,7 @@
     /// sheds requests that have waited for too long.
     fn shorten_queue(&mut self) {
         if self.waiting.exceeds_limit() {
-            self.waiting.close_first_if_silent(MIN_WAIT);
+            self.waiting.close_first_if_silent();
         }
         let max_excess = self.waiting.max_length();
         while self.waiting.sender_has_waited(self.max_wait())
--- a/crates/node/src/downstream/listener/tests/full_registry.rs
+++ b/crates/node/src/downstream/listener/tests/full_registry.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
@@ -203,3 +204,21 @@
         },
     );
 }
+
+/// Guards against: silent clients that connect in hundreds delayed the accepts, and requests on the
+/// connections behind them were shed or came too late.
+#[test]
+fn silent_clients_do_not_delay_requests_behind_them() {
+    const SILENT_CLIENTS: usize = 200;
+    with_small_registry(async |address| {
+        let mut silent = Vec::new();
+        for _ in 0..SILENT_CLIENTS {
+            silent.push(TcpStream::connect(address).await.expect("the node listens"));
+        }
+        let mut client = connect_and_send(address, READINESS_CHECK).await;
+        assert_eq!(read_status(&mut client).await, "HTTP/1.1 200");
+        let mut other = connect_and_send(address, &complete_request(1)).await;
+        // There is no driver, so a request that is not shed fails.
+        assert_eq!(read_status(&mut other).await, "HTTP/1.1 502");
+    });
+}
--- a/crates/node/src/downstream/listener/waiting_connections.rs
+++ b/crates/node/src/downstream/listener/waiting_connections.rs
@@ -3,7 +3,7 @@
 //! A client that has sent nothing may never do so. A waiting connection therefore displaces a
 //! client that was served only once its own client has sent something.
 
-use crate::socket::is_readable;
+use crate::socket::{is_readable, is_readable_after_event};
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::future::poll_fn;
@@ -27,12 +27,17 @@
 }
 
 impl WaitingConnection {
-    /// Returns whether its client has sent something. Makes a system call unless that is known.
+    /// Returns whether its client has sent something, as far as the runtime knows.
     fn has_sent(&self) -> bool {
+        self.has_sent.get()
+    }
+
+    /// Updates what is known. Makes a system call only if the runtime reports the stream as
+    /// readable.
+    fn update(&self) {
         if !self.has_sent.get() {
-            self.has_sent.set(is_readable(&self.stream));
+            self.has_sent.set(is_readable_after_event(&self.stream));
         }
-        self.has_sent.get()
     }
 
     /// Returns whether its client has sent nothing for longer than this.
@@ -62,13 +67,20 @@
 
     /// Adds a connection that has just been accepted.
     pub(super) fn push(&mut self, stream: TcpStream) {
+        // The runtime has no event of the stream yet.
+        let has_sent = is_readable(&stream);
         self.connections.push_back(WaitingConnection {
             stream,
             accepted_at: Instant::now(),
-            has_sent: Cell::new(false),
+            has_sent: Cell::new(has_sent),
         });
     }
 
+    /// Updates whether the clients have sent something.
+    pub(super) fn update(&self) {
+        self.connections.iter().for_each(WaitingConnection::update);
+    }
+
     /// Returns whether no connection waits.
     pub(super) fn is_empty(&self) -> bool {
         self.connections.is_empty()
@@ -108,9 +120,9 @@
         Some(self.connections.remove(index)?.stream)
     }
 
-    /// Closes the first connection if its client has sent nothing for longer than this.
-    pub(super) fn close_first_if_silent(&mut self, limit: Duration) {
-        if self.connections.front().is_some_and(|c| c.is_silent(limit)) {
+    /// Closes the first connection if its client has sent nothing.
+    pub(super) fn close_first_if_silent(&mut self) {
+        if self.connections.front().is_some_and(|c| !c.has_sent()) {
             self.connections.pop_front();
         }
     }
--- a/crates/node/src/socket/system_calls.rs
+++ b/crates/node/src/socket/system_calls.rs
@@ -7,6 +7,7 @@
 use std::io::{self, ErrorKind, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 
 /// Connects to an address.
@@ -36,6 +37,13 @@
     !peek(stream).is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
 }
 
+/// Returns whether the stream has something to read, as far as the runtime's events show. Makes a
+/// system call only after such an event.
+pub(crate) fn is_readable_after_event(stream: &TcpStream) -> bool {
+    let peeked = stream.try_io(Interest::READABLE, || peek(stream));
+    !peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+}
+
 /// Writes as many bytes as the stream accepts now, and returns their number.
 pub(super) fn write(stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
     retry_if_interrupted(|| stream.try_write(bytes))
