Count the first request's read timeout from the accept also after a wait for room

Cause: a silent client could wait for 2 s, then take a free place and keep it for 2 s more, longer than the 3 s within which it is owed an end. A client that had closed its connection while it waited still displaced another one. Change: the time of the accept goes along with the connection, and connections that have ended are dropped from the queue. Measured: waiting_for_room_does_not_extend_the_read_timeout fails before (over 3 s); it and the other tests of full_registry pass in 20 of 20 runs.

--- a/crates/node/src/downstream/connection.rs
+++ b/crates/node/src/downstream/connection.rs
@@ -67,9 +67,8 @@
 }
 
 impl Connection {
-    /// Creates the state of a connection that has just been accepted.
-    pub(super) fn new(socket: SocketHandle, mode: ServiceMode) -> Self {
-        let accepted_at = Instant::now();
+    /// Creates the state of an accepted connection.
+    pub(super) fn new(socket: SocketHandle, mode: ServiceMode, accepted_at: Instant) -> Self {
         Connection {
             socket,
             mode,
--- a/crates/node/src/downstream/http_server.rs
+++ b/crates/node/src/downstream/http_server.rs
@@ -22,6 +22,26 @@
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+/// A connection that has been accepted.
+pub(super) struct AcceptedConnection {
+    /// The stream.
+    pub stream: TcpStream,
+    /// When the connection was accepted. Its client's first request has to be read by a deadline
+    /// that is counted from then.
+    pub accepted_at: Instant,
+}
+
+impl AcceptedConnection {
+    /// Returns a connection that was accepted now.
+    pub(super) fn now(stream: TcpStream) -> Self {
+        AcceptedConnection {
+            stream,
+            accepted_at: Instant::now(),
+        }
+    }
+}
 
 /// Serves connections with one request handler.
 pub(super) struct HttpServer {
@@ -50,9 +70,9 @@
     }
 
     /// Serves a connection in a task of its own, until it ends.
-    pub(super) fn serve(self: &Rc<Self>, stream: TcpStream, mode: ServiceMode) {
-        let (socket, handle) = Socket::new(stream);
-        let connection = Rc::new(Connection::new(handle, mode));
+    pub(super) fn serve(self: &Rc<Self>, accepted: AcceptedConnection, mode: ServiceMode) {
+        let (socket, handle) = Socket::new(accepted.stream);
+        let connection = Rc::new(Connection::new(handle, mode, accepted.accepted_at));
         let registration = self.registry.register(connection.clone());
         let server = self.clone();
         spawn_local(async move {
--- a/crates/node/src/downstream/listener.rs
+++ b/crates/node/src/downstream/listener.rs
@@ -6,7 +6,7 @@
 
 use super::connection_registry::ConnectionRegistry;
 use super::eviction::EvictionReason;
-use super::http_server::{HttpServer, ServiceMode};
+use super::http_server::{AcceptedConnection, HttpServer, ServiceMode};
 use super::timeouts::READ_TIMEOUT;
 use crate::logging::log_rate_limited;
 use accept_error::AcceptErrorKind;
@@ -109,15 +109,16 @@
     /// is full, and closes the listener. Clients may have sent requests on queued connections,
     /// which the close would reset.
     pub(super) async fn finish(mut self) {
-        while let Some(stream) = self.waiting.take_next() {
-            self.server.serve(stream, ServiceMode::Serve);
+        while let Some(accepted) = self.waiting.take_next() {
+            self.server.serve(accepted, ServiceMode::Serve);
         }
         let mut failures = 0;
         for _ in 0..MAX_QUEUED_CONNECTIONS {
             // An accept waits only if the queue is empty. The zero timeout ends this wait.
             match timeout(Duration::ZERO, self.listener.accept()).await {
                 Ok(Ok(stream)) => {
-                    self.server.serve(stream, ServiceMode::Serve);
+                    let accepted = AcceptedConnection::now(stream);
+                    self.server.serve(accepted, ServiceMode::Serve);
                     failures = 0;
                 }
                 Ok(Err(error)) if failures < MAX_CONSECUTIVE_FAILURES => {
@@ -159,7 +160,7 @@
                 self.waiting.take_sender()
             };
             match next {
-                Some(stream) => server.serve(stream, ServiceMode::Serve),
+                Some(accepted) => server.serve(accepted, ServiceMode::Serve),
                 None => break,
             }
         }
@@ -198,8 +199,8 @@
 
     /// Serves the first connection whose client has sent something, and sheds its request.
     fn shed_first_sender(&mut self) {
-        if let Some(stream) = self.waiting.take_sender() {
-            self.server.serve(stream, ServiceMode::Shed);
+        if let Some(accepted) = self.waiting.take_sender() {
+            self.server.serve(accepted, ServiceMode::Shed);
         }
     }
 }
--- a/crates/node/src/downstream/listener/tests.rs
+++ b/crates/node/src/downstream/listener/tests.rs
@@ -142,14 +142,14 @@
 /// other requests fail.
 fn server(max_connections: usize) -> Rc<HttpServer> {
     let (driver, _) = mpsc::channel(1);
-    server_with_driver(max_connections, driver)
+    downstream_with_driver(max_connections, driver).server
 }
 
-/// Builds the server as the node does. Requests are passed to the driver with this inbox.
-fn server_with_driver(
+/// Builds the downstream side as the node does. Requests are passed to the driver with this inbox.
+fn downstream_with_driver(
     max_connections: usize,
     driver: mpsc::Sender<DriverMessage>,
-) -> Rc<HttpServer> {
+) -> Downstream {
     let class = ClassOptions {
         name: "correct".to_owned(),
         idempotency: Idempotency::NotIdempotent,
@@ -163,7 +163,7 @@
     };
     let has_endpoint_list = Rc::new(Cell::new(true));
     let budget = MemoryBudget::new(BUDGET_BYTES);
-    Downstream::new(Clock::start(), options, budget, driver, has_endpoint_list).server
+    Downstream::new(Clock::start(), options, budget, driver, has_endpoint_list)
 }
 
 async fn bind() -> (TcpListener, SocketAddr) {
--- a/crates/node/src/downstream/listener/tests/full_registry.rs
+++ b/crates/node/src/downstream/listener/tests/full_registry.rs
@@ -1,7 +1,7 @@
 //! Tests of new clients that connect while the registry is full.
 
 use super::{Acceptor, Client, HttpServer, RequestEnd, bind};
-use super::{in_virtual_time, server, server_with_driver};
+use super::{downstream_with_driver, in_virtual_time, server};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -185,7 +185,7 @@
     // A driver that takes no message from its inbox, so that no request ends.
     let (driver, _inbox) = mpsc::channel(MAX_CONNECTIONS);
     with_server(
-        server_with_driver(MAX_CONNECTIONS, driver),
+        downstream_with_driver(MAX_CONNECTIONS, driver).server,
         async |address| {
             let mut served = Vec::new();
             for id in 0..MAX_CONNECTIONS {
@@ -222,3 +222,30 @@
         assert_eq!(read_status(&mut other).await, "HTTP/1.1 502");
     });
 }
+
+/// The time for the first request is counted from the accept. A client that is silent, or stops
+/// within a request, is owed the end of its connection 3 s after it has connected.
+#[test]
+fn waiting_for_room_does_not_extend_the_read_timeout() {
+    const TIME_OWED: Duration = Duration::from_secs(3);
+    const WAIT: Duration = Duration::from_millis(1800);
+    let (driver, _inbox) = mpsc::channel(MAX_CONNECTIONS);
+    let downstream = downstream_with_driver(MAX_CONNECTIONS, driver);
+    let registry = downstream.registry;
+    with_server(downstream.server, async |address| {
+        let timeouts = spawn_local(registry.enforce_timeouts());
+        let mut served = Vec::new();
+        for id in 0..MAX_CONNECTIONS {
+            served.push(connect_and_send(address, &complete_request(id)).await);
+        }
+        let mut silent = Client::connect(address).await;
+        let connected_at = Instant::now();
+        sleep(WAIT).await;
+        // Makes room, so that the connection that waits is served.
+        drop(served);
+        let ended = timeout(TIME_OWED, silent.0.read(&mut [0])).await;
+        assert!(matches!(ended, Ok(Ok(0))), "{ended:?}");
+        assert!(connected_at.elapsed() < TIME_OWED);
+        timeouts.abort();
+    });
+}
--- a/crates/node/src/downstream/listener/waiting_connections.rs
+++ b/crates/node/src/downstream/listener/waiting_connections.rs
@@ -3,21 +3,19 @@
 //! A client that has sent nothing may never do so. A waiting connection therefore displaces a
 //! client that was served only once its own client has sent something.
 
-use crate::socket::{is_readable, is_readable_after_event};
-use std::cell::Cell;
+use crate::downstream::http_server::AcceptedConnection;
+use crate::socket::{Unread, unread, unread_after_event};
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::Instant;
 
 /// An accepted connection that is not served yet.
 struct WaitingConnection {
-    stream: TcpStream,
-    accepted_at: Instant,
-    /// Whether its client has sent something, or has closed the connection.
-    has_sent: Cell<bool>,
+    accepted: AcceptedConnection,
+    /// What its client has sent, as far as that is known.
+    unread: Unread,
 }
 
 /// The connections that wait for room, in the order in which they were accepted.
@@ -27,32 +25,36 @@
 }
 
 impl WaitingConnection {
-    /// Returns whether its client has sent something, as far as the runtime knows.
+    /// Returns whether its client has sent something.
     fn has_sent(&self) -> bool {
-        self.has_sent.get()
+        self.unread != Unread::Nothing
     }
 
-    /// Updates what is known. Makes a system call only if the runtime reports the stream as
-    /// readable.
-    fn update(&self) {
-        if !self.has_sent.get() {
-            self.has_sent.set(is_readable_after_event(&self.stream));
+    /// Updates what its client has sent. Returns false if the client has closed the connection
+    /// without sending anything.
+    fn update(&mut self) -> bool {
+        if self.unread == Unread::Nothing {
+            self.unread = unread_after_event(&self.accepted.stream);
         }
+        self.unread != Unread::End
     }
 
     /// Returns whether its client has sent nothing for longer than this.
     fn is_silent(&self, limit: Duration) -> bool {
-        self.accepted_at.elapsed() > limit && !self.has_sent()
+        self.wait_time() > limit && !self.has_sent()
     }
 
-    /// Completes when its client sends something, unless that is known already.
+    /// Returns the time since the connection was accepted.
+    fn wait_time(&self) -> Duration {
+        self.accepted.accepted_at.elapsed()
+    }
+
+    /// Completes when its client does something, unless it has sent something before.
     fn poll_sent(&self, cx: &mut Context<'_>) -> Poll<()> {
-        if self.has_sent.get() {
+        if self.has_sent() {
             return Poll::Pending;
         }
-        let polled = self.stream.poll_read_ready(cx).map(|_| ());
-        self.has_sent.set(polled.is_ready());
-        polled
+        self.accepted.stream.poll_read_ready(cx).map(|_| ())
     }
 }
 
@@ -68,17 +70,16 @@
     /// Adds a connection that has just been accepted.
     pub(super) fn push(&mut self, stream: TcpStream) {
         // The runtime has no event of the stream yet.
-        let has_sent = is_readable(&stream);
+        let unread = unread(&stream);
         self.connections.push_back(WaitingConnection {
-            stream,
-            accepted_at: Instant::now(),
-            has_sent: Cell::new(has_sent),
+            accepted: AcceptedConnection::now(stream),
+            unread,
         });
     }
 
-    /// Updates whether the clients have sent something.
-    pub(super) fn update(&self) {
-        self.connections.iter().for_each(WaitingConnection::update);
+    /// Updates what the clients have sent, and removes those that have closed their connections.
+    pub(super) fn update(&mut self) {
+        self.connections.retain_mut(WaitingConnection::update);
     }
 
     /// Returns whether no connection waits.
@@ -104,20 +105,20 @@
     /// Returns whether a client that has sent something has waited for longer than this.
     pub(super) fn sender_has_waited(&self, limit: Duration) -> bool {
         self.first_sender()
-            .is_some_and(|index| self.connections[index].accepted_at.elapsed() > limit)
+            .is_some_and(|index| self.connections[index].wait_time() > limit)
     }
 
     /// Removes the first connection whose client has sent something.
-    pub(super) fn take_sender(&mut self) -> Option<TcpStream> {
+    pub(super) fn take_sender(&mut self) -> Option<AcceptedConnection> {
         let index = self.first_sender()?;
-        Some(self.connections.remove(index)?.stream)
+        Some(self.connections.remove(index)?.accepted)
     }
 
     /// Removes the connection that is served next: the first one whose client has sent something,
     /// or else the first one.
-    pub(super) fn take_next(&mut self) -> Option<TcpStream> {
+    pub(super) fn take_next(&mut self) -> Option<AcceptedConnection> {
         let index = self.first_sender().unwrap_or(0);
-        Some(self.connections.remove(index)?.stream)
+        Some(self.connections.remove(index)?.accepted)
     }
 
     /// Closes the first connection if its client has sent nothing.
--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -11,7 +11,7 @@
 
 pub(crate) use handle::SocketHandle;
 pub(crate) use stream::Socket;
-pub(crate) use system_calls::{connect, is_readable, is_readable_after_event};
+pub(crate) use system_calls::{Unread, connect, unread, unread_after_event};
 
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/socket/handle.rs
+++ b/crates/node/src/socket/handle.rs
@@ -3,7 +3,7 @@
 
 use crate::socket::read_ahead::MAX_READ_AHEAD_BYTES;
 use crate::socket::shared::SharedSocket;
-use crate::socket::system_calls;
+use crate::socket::system_calls::{self, Unread};
 use std::io::ErrorKind;
 use std::pin::pin;
 use std::rc::{Rc, Weak};
@@ -80,7 +80,7 @@
         if !shared.read_ahead.is_empty() {
             return false;
         }
-        !system_calls::is_readable(&shared.stream)
+        system_calls::unread(&shared.stream) == Unread::Nothing
     }
 
     /// Waits until the peer has closed its side.
--- a/crates/node/src/socket/system_calls.rs
+++ b/crates/node/src/socket/system_calls.rs
@@ -32,16 +32,37 @@
     retry_if_interrupted(|| SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]))
 }
 
-/// Returns whether the stream has something to read: bytes, its end, or an error.
-pub(crate) fn is_readable(stream: &TcpStream) -> bool {
-    !peek(stream).is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+/// What a stream has to read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unread {
+    /// Nothing yet.
+    Nothing,
+    /// Bytes.
+    Bytes,
+    /// Its end, or an error.
+    End,
 }
 
-/// Returns whether the stream has something to read, as far as the runtime's events show. Makes a
-/// system call only after such an event.
-pub(crate) fn is_readable_after_event(stream: &TcpStream) -> bool {
-    let peeked = stream.try_io(Interest::READABLE, || peek(stream));
-    !peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+impl Unread {
+    fn from_peek(peeked: io::Result<usize>) -> Self {
+        match peeked {
+            Ok(0) => Unread::End,
+            Ok(_) => Unread::Bytes,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => Unread::Nothing,
+            Err(_) => Unread::End,
+        }
+    }
+}
+
+/// Returns what the stream has to read, by asking the kernel.
+pub(crate) fn unread(stream: &TcpStream) -> Unread {
+    Unread::from_peek(peek(stream))
+}
+
+/// Returns what the stream has to read, as far as the runtime's events show. Makes a system call
+/// only after such an event.
+pub(crate) fn unread_after_event(stream: &TcpStream) -> Unread {
+    Unread::from_peek(stream.try_io(Interest::READABLE, || peek(stream)))
 }
 
 /// Writes as many bytes as the stream accepts now, and returns their number.
