Treat an answer as failed if bytes follow a body of its stated length

What callers saw: status 200 without the body's end if its Content-Length was too low. Cause: a body was complete once its stated length had come; nobody looked behind it. Change: bytes behind such a body fail the attempt, which may have run. A duplicate of the answer is told from them by its head and body. A connection keeps what was read beyond.

--- a/crates/node/src/socket/handle.rs
+++ b/crates/node/src/socket/handle.rs
@@ -83,6 +83,13 @@
         system_calls::unread(&shared.stream) == Unread::Nothing
     }
 
+    /// Returns whether bytes have arrived that have not been passed to hyper. The kernel is asked.
+    pub(crate) fn has_bytes_to_read(&self) -> bool {
+        self.0.upgrade().is_some_and(|shared| {
+            !shared.read_ahead.is_empty() || system_calls::unread(&shared.stream) == Unread::Bytes
+        })
+    }
+
     /// Waits until the peer has closed its side.
     ///
     /// While hyper serves a request and further bytes wait in the stream, it does not notice that
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -9,9 +9,10 @@
 mod error;
 mod idle;
 mod limit;
+mod trailing_bytes;
 mod waiters;
 
-pub(crate) use connection::Connection;
+pub(crate) use connection::{Connection, Trailing};
 
 use crate::clock::Clock;
 use crate::message::ListedEndpoint;
--- a/crates/node/src/upstream/pool/dial.rs
+++ b/crates/node/src/upstream/pool/dial.rs
@@ -8,10 +8,14 @@
 use crate::upstream::pool::epoch::Epoch;
 use crate::upstream::pool::error::CheckoutError;
 use crate::upstream::pool::limit::ConnectionPermit;
+use crate::upstream::pool::trailing_bytes::TrailingBytes;
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::client::conn::http1;
 use ottertiller_balancer::EndpointId;
 use ottertiller_error_chain::ErrorChain;
 use rustix::io::Errno;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -140,9 +144,8 @@
         .handshake(socket)
         .await;
     let (sender, connection_task) = handshake.map_err(DialError::Handshake)?;
-    let task = spawn_local(async move {
-        let _ = connection_task.await; // the exchange on the connection reports the error
-    });
+    let trailing_bytes = TrailingBytes::default();
+    let task = spawn_local(run_http(connection_task, trailing_bytes.clone()));
     Ok(Connection {
         endpoint: dial.endpoint,
         address: dial.address,
@@ -150,7 +153,19 @@
         cooling_until: Duration::ZERO,
         sender,
         socket: handle,
+        trailing_bytes,
         task: task.abort_handle(),
         _permit: dial.permit,
     })
 }
+
+/// Runs a connection's HTTP layer until it ends, and records the bytes that it has read beyond the
+/// last response.
+async fn run_http(
+    mut connection: http1::Connection<Socket, Full<Bytes>>,
+    trailing_bytes: TrailingBytes,
+) {
+    // The exchange on the connection reports the error.
+    let _ = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
+    trailing_bytes.set(connection.into_parts().read_buf);
+}
--- a/crates/node/src/upstream/response.rs
+++ b/crates/node/src/upstream/response.rs
@@ -4,11 +4,11 @@
 use crate::logging::log_rate_limited;
 use crate::memory_budget::MemoryLease;
 use crate::upstream::Upstream;
-use crate::upstream::pool::Connection;
+use crate::upstream::pool::{Connection, Trailing};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderName, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
 use ottertiller_balancer::{LoadReport, Outcome};
 use std::error::Error;
@@ -19,6 +19,9 @@
 /// The value of [`REJECTED`] that marks a rejection; any other value has no effect.
 const REJECTED_TRUE: &str = "1";
 
+/// The greatest number of headers of a response, as hyper accepts them.
+const MAX_HEADERS: usize = 100;
+
 /// How an exchange with an endpoint ended.
 pub(super) struct ExchangeResult {
     /// The outcome of the attempt or health check.
@@ -67,7 +70,7 @@
     }
 }
 
-/// Why a response is dropped before its body is read.
+/// Why a response is dropped.
 #[derive(Debug, thiserror::Error)]
 enum ResponseDropped {
     /// The body is longer than [`MAX_BODY_BYTES`].
@@ -76,6 +79,9 @@
     /// The memory budget has no room for the body.
     #[error("memory budget exhausted")]
     MemoryBudgetExhausted,
+    /// Bytes follow the body, which may belong to it.
+    #[error("response body longer than its stated length, or followed by stray bytes")]
+    LongerThanStated,
 }
 
 impl Upstream {
@@ -92,16 +98,10 @@
         let (head, body) = response.into_parts();
         let keeps_connection = is_delimited(&head.headers, &body);
         let load_report = self.load_reports.parse_headers(&head.headers);
+        let states_length = states_length(&head.headers, &body);
         let lease = match self.lease_for_body(&body) {
             Ok(lease) => lease,
-            Err(error) => {
-                let address = connection.address;
-                log_rate_limited(format_args!(
-                    "response dropped: endpoint {address}: {error}"
-                ));
-                let result = ExchangeResult::without_body(Outcome::Error, load_report);
-                return ReceivedResponse::closing_connection(result);
-            }
+            Err(reason) => return drop_response(&connection, &reason, load_report),
         };
         let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
             Ok(body) => lease.attach_to(body.to_bytes()),
@@ -111,6 +111,12 @@
             }
         };
         let outcome = outcome_of_status(head.status, &head.headers);
+        if states_length
+            && outcome == Outcome::Served
+            && may_continue_body(&connection.trailing(), &body)
+        {
+            return drop_response(&connection, &ResponseDropped::LongerThanStated, load_report);
+        }
         let result = ExchangeResult {
             outcome,
             load_report,
@@ -137,6 +143,55 @@
     }
 }
 
+/// Drops a response whose request has run.
+fn drop_response(
+    connection: &Connection,
+    reason: &ResponseDropped,
+    load_report: Option<LoadReport>,
+) -> ReceivedResponse {
+    let address = connection.address;
+    log_rate_limited(format_args!(
+        "response dropped: endpoint {address}: {reason}"
+    ));
+    let result = ExchangeResult::without_body(Outcome::Error, load_report);
+    ReceivedResponse::closing_connection(result)
+}
+
+/// Returns whether the end of the body is known from the Content-Length alone.
+fn states_length(headers: &HeaderMap, body: &Incoming) -> bool {
+    body.size_hint().exact().is_some() && !headers.contains_key(TRANSFER_ENCODING)
+}
+
+/// Returns whether the bytes behind a served response may be the end of its body, because its
+/// Content-Length is too low. Stray bytes cannot be told from that, but a duplicate of the response
+/// can.
+fn may_continue_body(trailing: &Trailing, body: &[u8]) -> bool {
+    match trailing {
+        Trailing::Nothing => false,
+        Trailing::Read(bytes) => !is_duplicate(bytes, body),
+        Trailing::Unread => true,
+    }
+}
+
+/// Returns whether the bytes begin with a complete head of a response with status 200 and with the
+/// length of `body`, followed by `body`, as far as they have been read.
+fn is_duplicate(bytes: &[u8], body: &[u8]) -> bool {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Response::new(&mut headers);
+    let Ok(httparse::Status::Complete(head_length)) = head.parse(bytes) else {
+        return false;
+    };
+    let length = body.len().to_string();
+    let has_length = head.headers.iter().any(|header| {
+        header.name.eq_ignore_ascii_case(CONTENT_LENGTH.as_str())
+            && header.value == length.as_bytes()
+    });
+    let duplicate_body = &bytes[head_length..];
+    head.code == Some(StatusCode::OK.as_u16())
+        && has_length
+        && (body.starts_with(duplicate_body) || duplicate_body.starts_with(body))
+}
+
 /// Returns whether the response's headers tell where its body ends. Otherwise it ends when the
 /// connection closes.
 fn is_delimited(headers: &HeaderMap, body: &Incoming) -> bool {
