Reject the call id of a request that ended and may still run

What callers saw: a request ran twice if its id came again after its client had left. Cause: an id was in use only until its client had left or its response had been sent, while the endpoint may go on with a cancelled attempt. Evidence: both new tests failed before: the endpoint got the second request. Why: the protocol gives each request a new id, so only repeats are rejected.

--- a/crates/node/src/downstream.rs
+++ b/crates/node/src/downstream.rs
@@ -9,6 +9,7 @@
 //! driver.
 
 mod admission;
+mod call_ids;
 mod connection;
 mod connection_registry;
 mod disconnect_guard;
@@ -16,10 +17,10 @@
 mod eviction;
 mod graceful_shutdown;
 mod http_server;
-mod in_flight_call_ids;
 mod listener;
 mod options;
 mod readiness_check;
+mod recent_call_ids;
 mod rejection;
 mod request_body;
 mod request_error;
--- a/crates/node/src/downstream/admission.rs
+++ b/crates/node/src/downstream/admission.rs
@@ -1,10 +1,9 @@
 //! Admits requests whose head has been checked: leases memory for the body, reads the body, and
 //! reserves the call id.
 
-use super::in_flight_call_ids::{CallIdReservation, InFlightCallIds};
+use super::call_ids::{CallIdReservation, CallIds};
 use super::rejection::Rejection;
 use super::request_body::{BodyError, BodyReader};
-use super::request_error::RequestError;
 use super::request_parser::ParsedRequest;
 use super::shutdown_phase::ShutdownPhase;
 use crate::clock::Clock;
@@ -24,7 +23,7 @@
     phase: Rc<Cell<ShutdownPhase>>,
     /// The Retry-After header of the responses to shed requests; `None` for no such header.
     retry_after: Option<Duration>,
-    in_flight_call_ids: InFlightCallIds,
+    call_ids: CallIds,
 }
 
 /// A request that has been read to its last byte.
@@ -59,7 +58,7 @@
             budget,
             phase,
             retry_after,
-            in_flight_call_ids: InFlightCallIds::default(),
+            call_ids: CallIds::default(),
         }
     }
 
@@ -69,7 +68,8 @@
     ///
     /// Rejects the request if the memory budget has no room for its body, if the body does not
     /// arrive completely and in time, if its connection is evicted before that, if the shutdown has
-    /// reached the phase that sheds requests, or if the call id is in use.
+    /// reached the phase that sheds requests, or if the call id is
+    /// in use or its earlier request may still run.
     pub(super) async fn admit(
         &self,
         head: ParsedRequest,
@@ -89,10 +89,7 @@
             return Err(self.shed());
         }
         let received_at = self.clock.now();
-        let call_id_reservation = self
-            .in_flight_call_ids
-            .reserve(&head.call_id)
-            .ok_or(RequestError::CallInFlight)?;
+        let call_id_reservation = self.call_ids.reserve(&head.call_id)?;
         Ok(AdmittedRequest {
             request: ReceivedRequest {
                 head,
--- a/crates/node/src/downstream/driver_handle.rs
+++ b/crates/node/src/downstream/driver_handle.rs
@@ -27,7 +27,7 @@
     pub(super) async fn submit(&self, admitted: AdmittedRequest<'_>) -> FinalResponse {
         let AdmittedRequest {
             request,
-            call_id_reservation: _reservation,
+            mut call_id_reservation,
         } = admitted;
         let id = self.next_request_id();
         let (response_sender, final_response) = oneshot::channel();
@@ -43,6 +43,10 @@
         }
         let final_response = final_response.await.unwrap_or(FinalResponse::Failed);
         disconnect_guard.disarm();
+        match final_response {
+            FinalResponse::Served(_) | FinalResponse::Shed(_) => call_id_reservation.settle(),
+            FinalResponse::Failed | FinalResponse::TimedOut => {}
+        }
         final_response
     }
 
--- a/crates/node/src/downstream/request_error.rs
+++ b/crates/node/src/downstream/request_error.rs
@@ -52,6 +52,9 @@
     /// Another request with the same X-Call-Id is in flight.
     #[error("a request with this X-Call-Id is open")]
     CallInFlight,
+    /// An earlier request with the same X-Call-Id may have run, and may still run.
+    #[error("a request with this X-Call-Id may have run")]
+    CallMayHaveRun,
 }
 
 impl RequestError {
@@ -64,7 +67,7 @@
             RequestError::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
             RequestError::UnknownTenant => StatusCode::FORBIDDEN,
             RequestError::ReadTimeout => StatusCode::REQUEST_TIMEOUT,
-            RequestError::CallInFlight => StatusCode::CONFLICT,
+            RequestError::CallInFlight | RequestError::CallMayHaveRun => StatusCode::CONFLICT,
             RequestError::UnknownLength
             | RequestError::NoPath
             | RequestError::RepeatedHeader
--- a/crates/node/src/downstream/request_error/tests.rs
+++ b/crates/node/src/downstream/request_error/tests.rs
@@ -3,7 +3,7 @@
 use hyper::header::TRANSFER_ENCODING;
 
 /// Returns each error with the status and the text that the protocol gives it.
-fn published_errors() -> [(RequestError, u16, &'static str); 15] {
+fn published_errors() -> [(RequestError, u16, &'static str); 16] {
     [
         (
             RequestError::TransferEncoding,
@@ -44,6 +44,11 @@
             409,
             "a request with this X-Call-Id is open",
         ),
+        (
+            RequestError::CallMayHaveRun,
+            409,
+            "a request with this X-Call-Id may have run",
+        ),
     ]
 }
 
@@ -79,5 +84,5 @@
             );
         }
     }
-    assert_eq!(named_headers, 5);
+    assert_eq!(named_headers, 6);
 }
--- a/crates/node/tests/node/client_disconnect.rs
+++ b/crates/node/tests/node/client_disconnect.rs
@@ -2,7 +2,7 @@
 
 use crate::support::client::{Client, common_headers, request_bytes, request_head};
 use crate::support::discovery::{DiscoveryServer, delta, in_service};
-use crate::support::endpoint::{ScriptedEndpoint, ok};
+use crate::support::endpoint::{ScriptedEndpoint, ok, response};
 use crate::support::gate::reply_gate;
 use crate::support::process::NodeProcess;
 use crate::support::settings::{LONG_DEADLINE_MS, MAX_BODY_BYTES, NodeSettings};
@@ -161,3 +161,48 @@
         assert_eq!(client.request_idempotent().status(), 200);
     }
 }
+
+/// Guards against: a request ran twice when its call id came again after its client had left, since
+/// the endpoint may still work on it.
+#[test]
+fn call_id_of_disconnected_client_is_not_sent_again() {
+    let endpoint = ScriptedEndpoint::silent();
+    let (node, _discovery) = start_node_with_far_deadline(&endpoint);
+    for method_and_target in ["POST /correct/1", "GET /read/1"] {
+        let headers = common_headers(FAR_DEADLINE_MS);
+        let body: &[u8] = if method_and_target.starts_with("GET") {
+            b""
+        } else {
+            b"sheet"
+        };
+        let mut client = node.client();
+        client.send(method_and_target, &headers, body);
+        endpoint.next_request();
+        drop(client);
+        endpoint.next_closed();
+        let repeated = node.client().request(method_and_target, &headers, body);
+        assert_eq!(repeated.status(), 409, "{method_and_target}");
+    }
+    assert_eq!(endpoint.request_count(), 2);
+}
+
+/// Guards against: a request that got no answer in time, and may still run, ran again when its call
+/// id came again.
+#[test]
+fn call_id_of_failed_request_is_not_sent_again() {
+    let (releaser, gate) = reply_gate();
+    let endpoint = ScriptedEndpoint::start(move |_| {
+        gate.wait();
+        response("500 Oops", "", b"")
+    });
+    let (node, _discovery) = start_node(&[&endpoint]);
+    let mut client = node.client();
+    let headers = common_headers(LONG_DEADLINE_MS);
+    client.send("POST /correct/1", &headers, b"sheet");
+    endpoint.next_request();
+    releaser.release_one();
+    assert_eq!(client.receive_response().status(), 502);
+    let repeated = client.request("POST /correct/1", &headers, b"sheet");
+    assert_eq!(repeated.status(), 409);
+    assert_eq!(endpoint.request_count(), 1);
+}
