Remove an endpoint when the list names a newer one at its address

What callers saw: requests to an endpoint that had gone ran at the new one at its address, which was still starting; a keyed request could run twice. Cause: an endpoint was known by its id alone, and nothing followed from another entry with its address, so that it was used until the list said that it had gone. Evidence: in the new test of the node, its connection stayed open until the idle timeout. Change: the driver keeps the addresses; the older of two endpoints at one is removed. Why: a process can listen on an address only once the one before it has gone.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -5,6 +5,7 @@
 //! final responses, exactly one for each request.
 
 mod actions;
+mod address_claims;
 mod request_table;
 mod tasks;
 mod timer_queue;
@@ -16,6 +17,7 @@
     FinalResponse, IncomingRequest, StopReason,
 };
 use crate::upstream::Upstream;
+use address_claims::AddressClaims;
 use ottertiller_balancer::{AttemptEnd, Balancer, Event, HealthCheckEnd, RequestId, Settings};
 use request_table::RequestTable;
 use std::collections::VecDeque;
@@ -52,6 +54,7 @@
     /// The balancer's tick. Requests without a response are ended this long before their deadline.
     tick: Duration,
     requests: RequestTable,
+    address_claims: AddressClaims,
 }
 
 impl Driver {
@@ -71,6 +74,7 @@
             discovery: channels.discovery,
             tick: settings.tick,
             requests: RequestTable::new(max_attempts),
+            address_claims: AddressClaims::default(),
             balancer: Balancer::new(settings, options.seed),
         }
     }
@@ -175,8 +179,9 @@
         }));
     }
 
-    fn on_endpoint_list(&mut self, update: EndpointListUpdate) {
+    fn on_endpoint_list(&mut self, mut update: EndpointListUpdate) {
         let kind = update.kind;
+        self.address_claims.apply(kind, &mut update.endpoints);
         self.upstream.update_endpoints(kind, &update.endpoints);
         let entries = update
             .endpoints
--- /dev/null
+++ b/crates/node/src/driver/address_claims.rs
@@ -0,0 +1,190 @@
+//! The addresses of endpoints, of which each belongs to one process at a time.
+//!
+//! A new process may be listed at the address of one that has gone before the list says that the
+//! old one has gone. What is sent to the old endpoint would then run at the new one. The old
+//! endpoint is therefore treated as removed as soon as the list names a newer one at its address.
+
+use crate::logging::log_rate_limited;
+use crate::message::ListedEndpoint;
+use ottertiller_balancer::{EndpointEntry, EndpointId, EndpointState, ListKind};
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A process as the list describes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Process {
+    /// The address on which it listens.
+    address: SocketAddr,
+    /// When it started; `None` if that was long ago.
+    started: Option<Duration>,
+}
+
+/// What earlier updates say of a claim. The variants are in ascending order of strength.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    /// Another endpoint has claimed the address since this one did.
+    Superseded,
+    /// The endpoint had this address before the update.
+    Held,
+    /// The update is the first that names this process.
+    New,
+}
+
+/// The claim of an endpoint to the address of its process.
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    process: Process,
+    standing: Standing,
+}
+
+impl Claim {
+    /// Returns the strength of the claim. Of two claims to an address, the weaker one is superseded.
+    /// Endpoints with claims of equal strength keep the address, since nothing shows which of them
+    /// has gone.
+    fn strength(&self) -> (Standing, Option<Duration>) {
+        (self.standing, self.process.started)
+    }
+}
+
+/// The claims of the listed endpoints.
+#[derive(Default)]
+pub(super) struct AddressClaims {
+    by_id: BTreeMap<EndpointId, Claim>,
+    /// The endpoints that claim an address, usually one.
+    by_address: BTreeMap<SocketAddr, BTreeSet<EndpointId>>,
+}
+
+impl AddressClaims {
+    /// Applies an update of the list. Changes the state of superseded endpoints in it to removed, and
+    /// adds an entry for each other endpoint that is superseded now.
+    pub(super) fn apply(&mut self, kind: ListKind, listed: &mut Vec<ListedEndpoint>) {
+        let previous = match kind {
+            ListKind::Snapshot | ListKind::Cached => self.take_all(),
+            ListKind::Delta => self.take_named(listed),
+            ListKind::Failed => return,
+        };
+        let claimed_addresses = self.insert_claims(listed, &previous);
+        let mut superseded = BTreeMap::new();
+        for address in claimed_addresses {
+            self.settle(address, &mut superseded);
+        }
+        for endpoint in listed.iter_mut() {
+            if let Some(claim) = superseded.get(&endpoint.entry.id) {
+                log_superseded(claim);
+                endpoint.entry.state = EndpointState::Removed;
+            }
+        }
+        let named: BTreeSet<_> = listed.iter().map(|endpoint| endpoint.entry.id).collect();
+        for (id, claim) in superseded {
+            if !named.contains(&id) && claim.standing != Standing::Superseded {
+                log_superseded(&claim);
+                listed.push(removal(id, &claim));
+            }
+        }
+    }
+
+    /// Removes and returns all claims.
+    fn take_all(&mut self) -> BTreeMap<EndpointId, Claim> {
+        self.by_address.clear();
+        std::mem::take(&mut self.by_id)
+    }
+
+    /// Removes and returns the claims of the endpoints that an update names.
+    fn take_named(&mut self, listed: &[ListedEndpoint]) -> BTreeMap<EndpointId, Claim> {
+        let mut taken = BTreeMap::new();
+        for endpoint in listed {
+            let id = endpoint.entry.id;
+            let Some(claim) = self.by_id.remove(&id) else {
+                continue;
+            };
+            if let Entry::Occupied(mut ids) = self.by_address.entry(claim.process.address) {
+                ids.get_mut().remove(&id);
+                if ids.get().is_empty() {
+                    ids.remove();
+                }
+            }
+            taken.insert(id, claim);
+        }
+        taken
+    }
+
+    /// Adds the claims of the endpoints that an update names, and returns the claimed addresses.
+    fn insert_claims(
+        &mut self,
+        listed: &[ListedEndpoint],
+        previous: &BTreeMap<EndpointId, Claim>,
+    ) -> BTreeSet<SocketAddr> {
+        let mut claimed_addresses = BTreeSet::new();
+        for endpoint in listed {
+            let Some(process) = process(endpoint) else {
+                continue;
+            };
+            let id = endpoint.entry.id;
+            let standing = match previous.get(&id) {
+                Some(claim) if claim.process == process => claim.standing,
+                Some(_) | None => Standing::New,
+            };
+            self.by_id.insert(id, Claim { process, standing });
+            self.by_address
+                .entry(process.address)
+                .or_default()
+                .insert(id);
+            claimed_addresses.insert(process.address);
+        }
+        claimed_addresses
+    }
+
+    /// Decides which endpoints hold an address, and adds the others to `superseded`, with their
+    /// claims as they were before.
+    fn settle(&mut self, address: SocketAddr, superseded: &mut BTreeMap<EndpointId, Claim>) {
+        let ids = self.by_address.get(&address).into_iter().flatten();
+        let strongest = ids
+            .clone()
+            .filter_map(|id| self.by_id.get(id))
+            .map(Claim::strength)
+            .max();
+        for id in ids {
+            let Some(claim) = self.by_id.get_mut(id) else {
+                continue;
+            };
+            if Some(claim.strength()) < strongest {
+                superseded.insert(*id, *claim);
+                claim.standing = Standing::Superseded;
+            } else {
+                claim.standing = Standing::Held;
+            }
+        }
+    }
+}
+
+/// Returns the process of a listed endpoint; `None` if it is removed.
+fn process(endpoint: &ListedEndpoint) -> Option<Process> {
+    (endpoint.entry.state != EndpointState::Removed).then_some(Process {
+        address: endpoint.address,
+        started: endpoint.entry.started,
+    })
+}
+
+/// Returns an entry that removes an endpoint.
+fn removal(id: EndpointId, claim: &Claim) -> ListedEndpoint {
+    ListedEndpoint {
+        entry: EndpointEntry {
+            id,
+            state: EndpointState::Removed,
+            ..EndpointEntry::default()
+        },
+        address: claim.process.address,
+    }
+}
+
+fn log_superseded(claim: &Claim) {
+    log_rate_limited(format_args!(
+        "endpoint removed: a newer one is listed at its address {}",
+        claim.process.address
+    ));
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/tests/node/connections.rs
+++ b/crates/node/tests/node/connections.rs
@@ -146,3 +146,20 @@
         assert_eq!(endpoint.next_closed(), number);
     }
 }
+
+/// Guards against: a new endpoint at the address of one that had gone got the requests to the old
+/// one, because the list did not say yet that the old one had gone. The node closes its connection
+/// to the old endpoint, and sends to the new one alone.
+#[test]
+fn endpoint_is_replaced_by_new_one_at_its_address() {
+    let endpoint = ScriptedEndpoint::serving("");
+    let (node, mut discovery) = start_node(&[&endpoint]);
+    let mut client = node.client();
+    for number in 0..5 {
+        assert_eq!(client.request_idempotent().status(), 200);
+        assert_eq!(endpoint.next_request().connection, number);
+        let new = in_service(&format!("s-{}", number + 1), endpoint.address);
+        discovery.send_list(&delta(9 + number as u64, &[new]));
+        assert_eq!(endpoint.next_closed(), number);
+    }
+}
