Leave the log line about a reused address to the driver

Cause: the module that decides which endpoint holds an address logged, and did so again for each update that named the old endpoint; two entries of one endpoint left a stale claim. Change: it returns the addresses, and the driver logs those that were not known before. The last entry of an endpoint counts.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -181,7 +181,11 @@
 
     fn on_endpoint_list(&mut self, mut update: EndpointListUpdate) {
         let kind = update.kind;
-        self.address_claims.apply(kind, &mut update.endpoints);
+        for address in self.address_claims.apply(kind, &mut update.endpoints) {
+            log_rate_limited(format_args!(
+                "endpoint removed: a newer one is listed at its address {address}"
+            ));
+        }
         self.upstream.update_endpoints(kind, &update.endpoints);
         let entries = update
             .endpoints
--- a/crates/node/src/driver/address_claims.rs
+++ b/crates/node/src/driver/address_claims.rs
@@ -4,7 +4,6 @@
 //! old one has gone. What is sent to the old endpoint would then run at the new one. The old
 //! endpoint is therefore treated as removed as soon as the list names a newer one at its address.
 
-use crate::logging::log_rate_limited;
 use crate::message::ListedEndpoint;
 use ottertiller_balancer::{EndpointEntry, EndpointId, EndpointState, ListKind};
 use std::collections::btree_map::Entry;
@@ -58,12 +57,17 @@
 
 impl AddressClaims {
     /// Applies an update of the list. Changes the state of superseded endpoints in it to removed, and
-    /// adds an entry for each other endpoint that is superseded now.
-    pub(super) fn apply(&mut self, kind: ListKind, listed: &mut Vec<ListedEndpoint>) {
+    /// adds an entry for each other endpoint that is superseded now. Returns the addresses of those
+    /// that were not superseded before.
+    pub(super) fn apply(
+        &mut self,
+        kind: ListKind,
+        listed: &mut Vec<ListedEndpoint>,
+    ) -> Vec<SocketAddr> {
         let previous = match kind {
             ListKind::Snapshot | ListKind::Cached => self.take_all(),
             ListKind::Delta => self.take_named(listed),
-            ListKind::Failed => return,
+            ListKind::Failed => return Vec::new(),
         };
         let claimed_addresses = self.insert_claims(listed, &previous);
         let mut superseded = BTreeMap::new();
@@ -71,18 +75,18 @@
             self.settle(address, &mut superseded);
         }
         for endpoint in listed.iter_mut() {
-            if let Some(claim) = superseded.get(&endpoint.entry.id) {
-                log_superseded(claim);
+            if superseded.contains_key(&endpoint.entry.id) {
                 endpoint.entry.state = EndpointState::Removed;
             }
         }
         let named: BTreeSet<_> = listed.iter().map(|endpoint| endpoint.entry.id).collect();
-        for (id, claim) in superseded {
-            if !named.contains(&id) && claim.standing != Standing::Superseded {
-                log_superseded(&claim);
-                listed.push(removal(id, &claim));
-            }
-        }
+        superseded.retain(|_, claim| claim.standing != Standing::Superseded);
+        let unnamed = superseded.iter().filter(|(id, _)| !named.contains(id));
+        listed.extend(unnamed.map(|(id, claim)| removal(*id, claim)));
+        superseded
+            .values()
+            .map(|claim| claim.process.address)
+            .collect()
     }
 
     /// Removes and returns all claims.
@@ -93,21 +97,20 @@
 
     /// Removes and returns the claims of the endpoints that an update names.
     fn take_named(&mut self, listed: &[ListedEndpoint]) -> BTreeMap<EndpointId, Claim> {
-        let mut taken = BTreeMap::new();
-        for endpoint in listed {
-            let id = endpoint.entry.id;
-            let Some(claim) = self.by_id.remove(&id) else {
-                continue;
-            };
-            if let Entry::Occupied(mut ids) = self.by_address.entry(claim.process.address) {
-                ids.get_mut().remove(&id);
-                if ids.get().is_empty() {
-                    ids.remove();
-                }
+        let ids = listed.iter().map(|endpoint| endpoint.entry.id);
+        ids.filter_map(|id| Some((id, self.take(id)?))).collect()
+    }
+
+    /// Removes and returns the claim of an endpoint, if it has one.
+    fn take(&mut self, id: EndpointId) -> Option<Claim> {
+        let claim = self.by_id.remove(&id)?;
+        if let Entry::Occupied(mut ids) = self.by_address.entry(claim.process.address) {
+            ids.get_mut().remove(&id);
+            if ids.get().is_empty() {
+                ids.remove();
             }
-            taken.insert(id, claim);
         }
-        taken
+        Some(claim)
     }
 
     /// Adds the claims of the endpoints that an update names, and returns the claimed addresses.
@@ -118,10 +121,12 @@
     ) -> BTreeSet<SocketAddr> {
         let mut claimed_addresses = BTreeSet::new();
         for endpoint in listed {
+            let id = endpoint.entry.id;
+            // Of several entries of one endpoint, the last one counts.
+            self.take(id);
             let Some(process) = process(endpoint) else {
                 continue;
             };
-            let id = endpoint.entry.id;
             let standing = match previous.get(&id) {
                 Some(claim) if claim.process == process => claim.standing,
                 Some(_) | None => Standing::New,
@@ -179,12 +184,5 @@
     }
 }
 
-fn log_superseded(claim: &Claim) {
-    log_rate_limited(format_args!(
-        "endpoint removed: a newer one is listed at its address {}",
-        claim.process.address
-    ));
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/driver/address_claims/tests.rs
+++ b/crates/node/src/driver/address_claims/tests.rs
@@ -122,6 +122,10 @@
         apply(&mut claims, ListKind::Delta, &update);
     }
     assert_eq!((claims.by_id.len(), claims.by_address.len()), (1, 1));
+    // Of several entries of one endpoint, the last one counts.
+    let update = [listed(100, 81, Ready, 0), listed(100, 82, Ready, 0)];
+    apply(&mut claims, ListKind::Delta, &update);
+    assert_eq!((claims.by_id.len(), claims.by_address.len()), (1, 1));
     apply(&mut claims, ListKind::Failed, &[]);
     assert_eq!(claims.by_id.len(), 1);
     apply(&mut claims, ListKind::Snapshot, &[]);
