--- a/crates/node/src/socket/handle.rs
+++ b/crates/node/src/socket/handle.rs
@@ -67,7 +67,7 @@
     pub(crate) fn has_passed_placeholder(&self) -> bool {
         self.0
             .upgrade()
-            .is_some_and(|shared| shared.has_passed_placeholder())
+            .is_some_and(|shared| shared.gate.borrow().has_passed_placeholder())
     }
 
     /// Returns when bytes last arrived.
@@ -99,7 +99,7 @@
         let Some(shared) = self.0.upgrade() else {
             return false;
         };
-        if !shared.read_ahead.is_empty() || shared.has_placeholder() {
+        if !shared.read_ahead.is_empty() || shared.gate.borrow().has_placeholder() {
             return false;
         }
         system_calls::unread(&shared.stream) == Unread::Nothing
@@ -164,13 +164,13 @@
 /// ends, if it does.
 fn read_ahead_once(shared: &SharedSocket) -> Option<ReadAheadEnd> {
     if shared.read_ahead.remaining_capacity() == 0 {
-        if !shared.is_gate_closed() {
+        if !shared.gate.borrow().is_closed() {
             return Some(ReadAheadEnd::Stopped);
         }
         shared.discard(&shared.read_ahead.take());
     }
-    let is_discarding = shared.is_discarding();
-    if is_discarding && !shared.needs_discarding() {
+    let is_discarding = shared.gate.borrow().is_discarding();
+    if is_discarding && !shared.gate.borrow().needs_discarding() {
         return Some(ReadAheadEnd::Stopped);
     }
     let max_count = if is_discarding {
--- a/crates/node/src/socket/request_gate.rs
+++ b/crates/node/src/socket/request_gate.rs
@@ -10,10 +10,11 @@
 /// A request that takes the place of a discarded one.
 const PLACEHOLDER: &[u8] = b"GET / HTTP/1.1\r\n\r\n";
 
-/// Decides which of the bytes that a client has sent may pass to hyper.
+/// Decides which of the bytes that a peer has sent may pass to hyper.
 #[derive(Default)]
 pub(super) struct RequestGate {
-    scanner: RequestScanner,
+    /// Finds the ends of requests; `None` if the peer is no client, and all bytes pass.
+    scanner: Option<RequestScanner>,
     /// Whether a request has passed to its last byte and has not got its response.
     is_closed: bool,
     /// Whether the request that passed last is a placeholder.
@@ -24,6 +25,19 @@
 }
 
 impl RequestGate {
+    /// Returns a gate for the requests of a client.
+    pub(super) fn for_client() -> Self {
+        RequestGate {
+            scanner: Some(RequestScanner::default()),
+            ..RequestGate::default()
+        }
+    }
+
+    /// Returns a gate that lets everything pass.
+    pub(super) fn always_open() -> Self {
+        RequestGate::default()
+    }
+
     /// Returns whether nothing may pass until [`RequestGate::open`] is called.
     pub(super) fn is_closed(&self) -> bool {
         self.is_closed
@@ -34,7 +48,11 @@
     pub(super) fn open(&mut self) {
         self.is_closed = false;
         self.passed_placeholder = false;
-        if self.discarded == Some(0) && self.scanner.is_between_requests() {
+        let is_between_requests = self
+            .scanner
+            .as_ref()
+            .is_some_and(RequestScanner::is_between_requests);
+        if self.discarded == Some(0) && is_between_requests {
             self.discarded = None;
         }
     }
@@ -47,7 +65,7 @@
     /// Returns how many of the bytes, which are the next of the stream, pass to hyper. Closes the
     /// gate behind the end of a request.
     pub(super) fn pass(&mut self, bytes: &[u8]) -> usize {
-        match self.scanner.find_end(bytes) {
+        match self.find_end(bytes) {
             Some(end) => {
                 self.is_closed = true;
                 end
@@ -81,13 +99,19 @@
     /// first bytes were discarded.
     pub(super) fn discard(&mut self, mut bytes: &[u8]) {
         let mut ended = 0;
-        while let Some(end) = self.scanner.find_end(bytes) {
+        while let Some(end) = self.find_end(bytes) {
             ended += 1;
             bytes = &bytes[end..];
         }
         *self.discarded.get_or_insert(0) += ended;
     }
 
+    /// Scans bytes up to the end of the current request, and returns their number if it is among
+    /// them.
+    fn find_end(&mut self, bytes: &[u8]) -> Option<usize> {
+        self.scanner.as_mut()?.find_end(bytes)
+    }
+
     /// Lets the placeholder of a discarded request pass, and closes the gate behind it. Returns
     /// `None` if there is none left.
     pub(super) fn pass_placeholder(&mut self) -> Option<&'static [u8]> {
--- a/crates/node/src/socket/request_gate/tests.rs
+++ b/crates/node/src/socket/request_gate/tests.rs
@@ -4,7 +4,7 @@
 
 /// Returns a gate behind which a request has passed.
 fn closed_gate() -> RequestGate {
-    let mut gate = RequestGate::default();
+    let mut gate = RequestGate::for_client();
     assert_eq!(gate.pass(&REQUEST.repeat(2)), REQUEST.len());
     assert!(gate.is_closed());
     gate
@@ -41,3 +41,11 @@
     gate.open();
     assert!(!gate.is_discarding());
 }
+
+#[test]
+fn everything_passes_an_open_gate() {
+    let mut gate = RequestGate::always_open();
+    let bytes = REQUEST.repeat(2);
+    assert_eq!(gate.pass(&bytes), bytes.len());
+    assert!(!gate.is_closed());
+}
--- a/crates/node/src/socket/shared.rs
+++ b/crates/node/src/socket/shared.rs
@@ -25,8 +25,8 @@
     pub is_flushed: Cell<bool>,
     /// Bytes that a handle has read and hyper has not asked for yet.
     pub read_ahead: ReadAheadBuffer,
-    /// Lets the requests of a client pass to hyper one at a time; `None` for other peers.
-    gate: Option<RefCell<RequestGate>>,
+    /// Decides which bytes may pass to hyper.
+    pub gate: RefCell<RequestGate>,
     /// The task that reads the stream, if it waits for the gate to open or for a placeholder.
     reader: Cell<Option<Waker>>,
     /// Whether the end of the stream was read ahead.
@@ -35,31 +35,23 @@
 
 impl SharedSocket {
     /// Returns the state of a stream from which nothing has been read.
-    pub(super) fn new(stream: TcpStream, gate: Option<RequestGate>) -> Self {
+    pub(super) fn new(stream: TcpStream, gate: RequestGate) -> Self {
         SharedSocket {
             stream,
             first_byte_at: Cell::default(),
             last_byte_at: Cell::default(),
             is_flushed: Cell::new(true),
             read_ahead: ReadAheadBuffer::default(),
-            gate: gate.map(RefCell::new),
+            gate: RefCell::new(gate),
             reader: Cell::default(),
             has_ended: Cell::default(),
         }
     }
 
-    /// Returns whether the gate is closed: the last request that passed has not got its response.
-    pub(super) fn is_gate_closed(&self) -> bool {
-        self.gate
-            .as_ref()
-            .is_some_and(|gate| gate.borrow().is_closed())
-    }
-
     /// Opens the gate for the next request.
     pub(super) fn open_gate(&self) {
-        let Some(gate) = &self.gate else { return };
-        gate.borrow_mut().open();
-        if self.is_discarding() {
+        self.gate.borrow_mut().open();
+        if self.gate.borrow().is_discarding() {
             // A part of the next request has arrived, but hyper gets no byte of it.
             self.mark_first_byte();
         }
@@ -77,40 +69,10 @@
         }
     }
 
-    /// Returns whether what the peer sends is discarded.
-    pub(super) fn is_discarding(&self) -> bool {
-        self.gate
-            .as_ref()
-            .is_some_and(|gate| gate.borrow().is_discarding())
-    }
-
-    /// Returns whether further bytes have to be discarded.
-    pub(super) fn needs_discarding(&self) -> bool {
-        self.gate
-            .as_ref()
-            .is_some_and(|gate| gate.borrow().needs_discarding())
-    }
-
-    /// Returns whether the request that passed last is the placeholder of a discarded one.
-    pub(super) fn has_passed_placeholder(&self) -> bool {
-        self.gate
-            .as_ref()
-            .is_some_and(|gate| gate.borrow().has_passed_placeholder())
-    }
-
-    /// Returns whether a placeholder may pass.
-    pub(super) fn has_placeholder(&self) -> bool {
-        self.gate
-            .as_ref()
-            .is_some_and(|gate| gate.borrow().has_placeholder())
-    }
-
     /// Discards bytes behind a request that has passed.
     pub(super) fn discard(&self, bytes: &[u8]) {
-        if let Some(gate) = &self.gate {
-            gate.borrow_mut().discard(bytes);
-        }
-        if self.has_placeholder() {
+        self.gate.borrow_mut().discard(bytes);
+        if self.gate.borrow().has_placeholder() {
             self.wake_reader();
         }
     }
@@ -128,11 +90,7 @@
         cx: &Context<'_>,
         buffer: &mut ReadBufCursor<'_>,
     ) -> Poll<()> {
-        let placeholder = self
-            .gate
-            .as_ref()
-            .and_then(|gate| gate.borrow_mut().pass_placeholder());
-        if let Some(placeholder) = placeholder {
+        if let Some(placeholder) = self.gate.borrow_mut().pass_placeholder() {
             let count = placeholder.len().min(buffer.remaining());
             buffer.put_slice(&placeholder[..count]);
             return Poll::Ready(());
@@ -151,7 +109,7 @@
         }
         self.read_ahead.drain_with(|bytes| {
             let count = bytes.len().min(buffer.remaining());
-            let passed = self.count_passing(&bytes[..count]);
+            let passed = self.gate.borrow_mut().pass(&bytes[..count]);
             buffer.put_slice(&bytes[..passed]);
             passed
         });
@@ -161,18 +119,11 @@
 
     /// Passes bytes that were just read to hyper. Those that may not pass yet are kept as read ahead.
     pub(super) fn pass(&self, bytes: &[u8], buffer: &mut ReadBufCursor<'_>) {
-        let passed = self.count_passing(bytes);
+        let passed = self.gate.borrow_mut().pass(bytes);
         buffer.put_slice(&bytes[..passed]);
         self.read_ahead.push(&bytes[passed..]);
     }
 
-    /// Returns how many of the bytes, which are the next of the stream, pass the gate.
-    fn count_passing(&self, bytes: &[u8]) -> usize {
-        self.gate
-            .as_ref()
-            .map_or(bytes.len(), |gate| gate.borrow_mut().pass(bytes))
-    }
-
     /// Reads the bytes that have arrived into the buffer, and records when they arrived.
     pub(super) fn read(&self, buffer: &mut [u8]) -> io::Result<usize> {
         let count = system_calls::read(&self.stream, buffer)?;
--- a/crates/node/src/socket/stream.rs
+++ b/crates/node/src/socket/stream.rs
@@ -19,16 +19,16 @@
 impl Socket {
     /// Returns a socket for the stream, and its handle.
     pub(crate) fn new(stream: TcpStream) -> (Self, SocketHandle) {
-        Self::with_gate(stream, None)
+        Self::with_gate(stream, RequestGate::always_open())
     }
 
     /// Returns a socket for the stream of a client, and its handle. Each further request of the
     /// client is read only after [`SocketHandle::allow_next_request`].
     pub(crate) fn for_client(stream: TcpStream) -> (Self, SocketHandle) {
-        Self::with_gate(stream, Some(RequestGate::default()))
+        Self::with_gate(stream, RequestGate::for_client())
     }
 
-    fn with_gate(stream: TcpStream, gate: Option<RequestGate>) -> (Self, SocketHandle) {
+    fn with_gate(stream: TcpStream, gate: RequestGate) -> (Self, SocketHandle) {
         let _ = stream.set_nodelay(true); // on failure the stream is slower, but works
         let shared = Rc::new(SharedSocket::new(stream, gate));
         let handle = SocketHandle::new(&shared);
@@ -58,11 +58,11 @@
         cx: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.0.is_gate_closed() {
+        if self.0.gate.borrow().is_closed() {
             self.0.set_reader(cx);
             return Poll::Pending;
         }
-        if self.0.is_discarding() {
+        if self.0.gate.borrow().is_discarding() {
             return self.0.poll_placeholder(cx, &mut buffer).map(Ok);
         }
         if self.0.pass_read_ahead(&mut buffer) {
