Look for bytes behind an answer also when its connection ends with it

What callers saw: status 200 without the body's end, for an answer with Connection: close whose stated length ends where a read ends. Cause: hyper does not read on behind such an answer, and the socket was closed before the kernel was asked. Change: the kernel is asked while the socket is open; what is found is kept as one value.

--- a/crates/node/src/downstream/admission.rs
+++ b/crates/node/src/downstream/admission.rs
@@ -68,8 +68,8 @@
     ///
     /// Rejects the request if the memory budget has no room for its body, if the body does not
     /// arrive completely and in time, if its connection is evicted before that, if the shutdown has
-    /// reached the phase that sheds requests, or if the call id is
-    /// in use or its earlier request may still run.
+    /// reached the phase that sheds requests, or if the call id is in use or its earlier request may
+    /// still run.
     pub(super) async fn admit(
         &self,
         head: ParsedRequest,
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -12,7 +12,8 @@
 mod trailing_bytes;
 mod waiters;
 
-pub(crate) use connection::{Connection, Trailing};
+pub(crate) use connection::Connection;
+pub(crate) use trailing_bytes::Trailing;
 
 use crate::clock::Clock;
 use crate::message::ListedEndpoint;
--- a/crates/node/src/upstream/pool/connection.rs
+++ b/crates/node/src/upstream/pool/connection.rs
@@ -4,7 +4,7 @@
 use crate::upstream::pool::epoch::Epoch;
 use crate::upstream::pool::error::CheckoutError;
 use crate::upstream::pool::limit::ConnectionPermit;
-use crate::upstream::pool::trailing_bytes::TrailingBytes;
+use crate::upstream::pool::trailing_bytes::{Trailing, TrailingBytes};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
@@ -16,17 +16,6 @@
 /// The result of a checkout or a dial.
 pub(super) type CheckoutResult = Result<Connection, CheckoutError>;
 
-/// What an endpoint has sent behind a response.
-#[derive(Debug, PartialEq, Eq)]
-pub(crate) enum Trailing {
-    /// Nothing.
-    Nothing,
-    /// Bytes, of which these have been read.
-    Read(Bytes),
-    /// Bytes, none of which have been read.
-    Unread,
-}
-
 /// A connection to an endpoint. Dropping it closes it at once, even during an exchange.
 pub(crate) struct Connection {
     /// The endpoint to which it leads.
@@ -42,7 +31,7 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Inspects its TCP stream.
     pub(super) socket: SocketHandle,
-    /// The bytes that its HTTP layer has read beyond the last response.
+    /// What its HTTP layer found behind the last response when it ended.
     pub(super) trailing_bytes: TrailingBytes,
     /// The task that runs its HTTP layer.
     pub(super) task: AbortHandle,
@@ -61,13 +50,9 @@
     /// Returns what the endpoint has sent behind the response that was read last, as far as it has
     /// arrived.
     pub(crate) fn trailing(&self) -> Trailing {
-        let bytes = self.trailing_bytes.get();
-        if !bytes.is_empty() {
-            Trailing::Read(bytes)
-        } else if self.socket.has_bytes_to_read() {
-            Trailing::Unread
-        } else {
-            Trailing::Nothing
+        match self.trailing_bytes.get() {
+            Trailing::Nothing if self.socket.has_bytes_to_read() => Trailing::Unread,
+            trailing => trailing,
         }
     }
 }
--- a/crates/node/src/upstream/pool/dial.rs
+++ b/crates/node/src/upstream/pool/dial.rs
@@ -2,13 +2,13 @@
 
 use crate::limits::READ_BUFFER_BYTES;
 use crate::logging::log_rate_limited;
-use crate::socket::{self, Socket};
+use crate::socket::{self, Socket, SocketHandle};
 use crate::upstream::pool::Pool;
 use crate::upstream::pool::connection::{CheckoutResult, Connection};
 use crate::upstream::pool::epoch::Epoch;
 use crate::upstream::pool::error::CheckoutError;
 use crate::upstream::pool::limit::ConnectionPermit;
-use crate::upstream::pool::trailing_bytes::TrailingBytes;
+use crate::upstream::pool::trailing_bytes::{Trailing, TrailingBytes};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1;
@@ -145,7 +145,11 @@
         .await;
     let (sender, connection_task) = handshake.map_err(DialError::Handshake)?;
     let trailing_bytes = TrailingBytes::default();
-    let task = spawn_local(run_http(connection_task, trailing_bytes.clone()));
+    let task = spawn_local(run_http(
+        connection_task,
+        handle.clone(),
+        trailing_bytes.clone(),
+    ));
     Ok(Connection {
         endpoint: dial.endpoint,
         address: dial.address,
@@ -159,13 +163,20 @@
     })
 }
 
-/// Runs a connection's HTTP layer until it ends, and records the bytes that it has read beyond the
+/// Runs a connection's HTTP layer until it ends, and records what the endpoint has sent behind the
 /// last response.
 async fn run_http(
     mut connection: http1::Connection<Socket, Full<Bytes>>,
+    socket: SocketHandle,
     trailing_bytes: TrailingBytes,
 ) {
     // The exchange on the connection reports the error.
     let _ = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
-    trailing_bytes.set(connection.into_parts().read_buf);
+    let has_unread = socket.has_bytes_to_read();
+    let read = connection.into_parts().read_buf;
+    trailing_bytes.set(match (read.is_empty(), has_unread) {
+        (false, _) => Trailing::Read(read),
+        (true, true) => Trailing::Unread,
+        (true, false) => Trailing::Nothing,
+    });
 }
--- a/crates/node/src/upstream/pool/trailing_bytes.rs
+++ b/crates/node/src/upstream/pool/trailing_bytes.rs
@@ -4,19 +4,31 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-/// The bytes that the HTTP layer of a connection has read beyond the last response. There are none
-/// while the HTTP layer runs, since it ends once it finds such bytes.
+/// What an endpoint has sent behind a response.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Trailing {
+    /// Nothing.
+    #[default]
+    Nothing,
+    /// Bytes, of which these have been read.
+    Read(Bytes),
+    /// Bytes, none of which have been read.
+    Unread,
+}
+
+/// What the HTTP layer of a connection found behind the last response when it ended. Nothing while
+/// it runs, since it ends once it finds something.
 #[derive(Clone, Default)]
-pub(super) struct TrailingBytes(Rc<RefCell<Bytes>>);
+pub(super) struct TrailingBytes(Rc<RefCell<Trailing>>);
 
 impl TrailingBytes {
-    /// Records the bytes.
-    pub(super) fn set(&self, bytes: Bytes) {
-        *self.0.borrow_mut() = bytes;
+    /// Records what was found.
+    pub(super) fn set(&self, trailing: Trailing) {
+        *self.0.borrow_mut() = trailing;
     }
 
-    /// Returns the bytes.
-    pub(super) fn get(&self) -> Bytes {
+    /// Returns what was found.
+    pub(super) fn get(&self) -> Trailing {
         self.0.borrow().clone()
     }
 }
--- a/crates/node/tests/node/forwarding.rs
+++ b/crates/node/tests/node/forwarding.rs
@@ -139,15 +139,24 @@
     ScriptedReply::Raw([head.as_bytes(), body].concat())
 }
 
+/// Returns a body of a response with `Connection: close`. Without its last five bytes, the response
+/// has as many bytes as the node reads at once.
+fn body_stated_as_one_read() -> Vec<u8> {
+    let head = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 8000\r\n\r\n";
+    vec![b'x'; 8 * 1024 - head.len() + 5]
+}
+
 /// Guards against: a response whose Content-Length is below the length of its body was served
 /// without the body's end.
 #[test]
 fn body_cut_off_by_its_content_length_is_not_served() {
-    let first_replies: [fn() -> ScriptedReply; 5] = [
+    let first_replies: [fn() -> ScriptedReply; 6] = [
         || short_length("", b"whole answer", 1),
         || short_length("", b"whole answer", 12),
         || short_length("Connection: close\r\n", b"whole answer", 6),
         || short_length("", &[b'x'; MAX_BODY_BYTES], 5),
+        // The node does not read further behind the stated length.
+        || short_length("Connection: close\r\n", &body_stated_as_one_read(), 5),
         // The missing end looks like the start of another response.
         || short_length("", b"log: HTTP/1.1 200 OK\r\nContent-Length: 4", 34),
     ];
