Keep all endpoints of an address that three or more share

Cause: an address that many endpoints share, for example behind a forwarder, identifies no process, but the newest endpoint would have removed the others. Change: an endpoint is removed for a newer one only if no third one claims the address. Measured: endpoints_that_share_an_address_are_all_kept and the other tests of address_claims.rs pass. That test was not run on the code before.

--- a/crates/node/src/driver/address_claims.rs
+++ b/crates/node/src/driver/address_claims.rs
@@ -11,6 +11,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The number of endpoints beside the strongest one at which an address counts as shared. It then
+/// identifies no process, for example behind a forwarder.
+const MIN_SHARING_CONTENDERS: usize = 2;
+
 /// A process as the list describes it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Process {
@@ -145,16 +149,12 @@
     /// claims as they were before.
     fn settle(&mut self, address: SocketAddr, superseded: &mut BTreeMap<EndpointId, Claim>) {
         let ids = self.by_address.get(&address).into_iter().flatten();
-        let strongest = ids
-            .clone()
-            .filter_map(|id| self.by_id.get(id))
-            .map(Claim::strength)
-            .max();
+        let weakest_holder = self.weakest_holder(ids.clone());
         for id in ids {
             let Some(claim) = self.by_id.get_mut(id) else {
                 continue;
             };
-            if Some(claim.strength()) < strongest {
+            if Some(claim.strength()) < weakest_holder {
                 superseded.insert(*id, *claim);
                 claim.standing = Standing::Superseded;
             } else {
@@ -162,6 +162,25 @@
             }
         }
     }
+
+    /// Returns the strength of the weakest claim that holds its address, of endpoints that all claim
+    /// the same one. If the address is shared, these are all that were not superseded before.
+    fn weakest_holder<'a>(
+        &self,
+        ids: impl Iterator<Item = &'a EndpointId>,
+    ) -> Option<(Standing, Option<Duration>)> {
+        let claims = ids.filter_map(|id| self.by_id.get(id));
+        let mut strengths: Vec<_> = claims.map(Claim::strength).collect();
+        strengths.sort_unstable();
+        let (strongest, weaker) = strengths.split_last()?;
+        let contenders = weaker
+            .iter()
+            .filter(|(standing, _)| *standing != Standing::Superseded);
+        if contenders.clone().count() < MIN_SHARING_CONTENDERS {
+            return Some(*strongest);
+        }
+        contenders.min().copied()
+    }
 }
 
 /// Returns the process of a listed endpoint; `None` if it is removed.
--- a/crates/node/src/driver/address_claims/tests.rs
+++ b/crates/node/src/driver/address_claims/tests.rs
@@ -131,3 +131,24 @@
     apply(&mut claims, ListKind::Snapshot, &[]);
     assert_eq!((claims.by_id.len(), claims.by_address.len()), (0, 0));
 }
+
+/// Endpoints behind a forwarder have one address. None of them is taken for the successor of the
+/// others.
+#[test]
+fn endpoints_that_share_an_address_are_all_kept() {
+    for started in [LONG_AGO, 3] {
+        let mut claims = AddressClaims::default();
+        let all: Vec<_> = (0..5)
+            .map(|id| listed(id, 80, Ready, started * id))
+            .collect();
+        let kept: Vec<_> = (0..5).map(|id| (id, Ready)).collect();
+        assert_eq!(apply(&mut claims, ListKind::Snapshot, &all), kept);
+        for update in [listed(2, 80, Ready, 99), listed(7, 80, Ready, 100)] {
+            let id = update.entry.id.0;
+            assert_eq!(
+                apply(&mut claims, ListKind::Delta, &[update]),
+                [(id, Ready)]
+            );
+        }
+    }
+}
