Shed requests of clients that may have left while they waited for room

Cause: nothing is read of a connection that waits for room. A close behind more bytes than the kernel holds cannot be seen, and the first request was forwarded up to 0.4 s later. Evidence: in the new test, the request of such a client reached the driver. Change: a client that waited for over 50 ms is looked at 5 ms after its request was read. If more follows, its requests are shed, which never ran, until nothing follows.

--- a/crates/node/src/downstream/admission.rs
+++ b/crates/node/src/downstream/admission.rs
@@ -67,9 +67,9 @@
     /// # Errors
     ///
     /// Rejects the request if the memory budget has no room for its body, if the body does not
-    /// arrive completely and in time, if its connection is evicted before that, if the shutdown has
-    /// reached the phase that sheds requests, or if the call id is in use or its earlier request may
-    /// still run.
+    /// arrive completely and in time, if its connection is evicted before that, if its client may
+    /// have left while it waited for room, if the shutdown has reached the phase that sheds
+    /// requests, or if the call id is in use or its earlier request may still run.
     pub(super) async fn admit(
         &self,
         head: ParsedRequest,
@@ -85,10 +85,10 @@
             Err(BodyError::Invalid(error)) => return Err(Rejection::Invalid(error)),
             Err(BodyError::Evicted) => return Err(self.shed()),
         };
-        if self.phase.get().sheds_requests() {
+        let received_at = self.clock.now();
+        if body_reader.client_may_have_left().await || self.phase.get().sheds_requests() {
             return Err(self.shed());
         }
-        let received_at = self.clock.now();
         let call_id_reservation = self.call_ids.reserve(&head.call_id)?;
         Ok(AdmittedRequest {
             request: ReceivedRequest {
--- a/crates/node/src/downstream/connection.rs
+++ b/crates/node/src/downstream/connection.rs
@@ -4,7 +4,14 @@
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
+
+/// How long a client may have waited for room without being checked for a close before its first
+/// request is forwarded. No attempt may begin more than 0.1 s after a client has closed.
+const MAX_UNCHECKED_WAIT: Duration = Duration::from_millis(50);
+/// How long the bytes that a client has sent behind its request may take to arrive once there is room
+/// for them: some round trips.
+const REMAINDER_DELAY: Duration = Duration::from_millis(5);
 
 /// The state of a connection.
 #[derive(Clone, Copy, PartialEq)]
@@ -53,6 +60,9 @@
     socket: SocketHandle,
     mode: ServiceMode,
     accepted_at: Instant,
+    /// Whether the client has waited for room for longer than [`MAX_UNCHECKED_WAIT`], and has not been
+    /// found connected since.
+    may_have_closed: Cell<bool>,
     /// Whether the complete head of a request has ever been read.
     has_read_request_head: Cell<bool>,
     state: Cell<ConnectionState>,
@@ -73,6 +83,7 @@
             socket,
             mode,
             accepted_at,
+            may_have_closed: Cell::new(accepted_at.elapsed() > MAX_UNCHECKED_WAIT),
             has_read_request_head: Cell::new(false),
             state: Cell::new(ConnectionState::Idle { since: accepted_at }),
             evicted_part: Cell::new(None),
@@ -196,6 +207,18 @@
         }
     }
 
+    /// Returns whether the client may have closed the connection while it waited for room, when
+    /// nothing was read from it. If the client has sent more than the request that has been read, the
+    /// end of the stream may be behind that.
+    pub(super) async fn may_have_closed_while_waiting(&self) -> bool {
+        if self.may_have_closed.get() {
+            sleep(REMAINDER_DELAY).await;
+            self.may_have_closed
+                .set(self.socket.has_more_behind_request());
+        }
+        self.may_have_closed.get()
+    }
+
     /// Returns what is done with the requests.
     pub(super) fn mode(&self) -> ServiceMode {
         self.mode
--- a/crates/node/src/downstream/listener/tests/full_registry.rs
+++ b/crates/node/src/downstream/listener/tests/full_registry.rs
@@ -2,6 +2,8 @@
 
 use super::{Acceptor, Client, HttpServer, RequestEnd, bind};
 use super::{downstream_with_driver, in_virtual_time, server};
+use crate::limits::MAX_BODY_BYTES;
+use crate::message::DriverMessage;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -59,6 +61,16 @@
     )
 }
 
+/// Returns a complete request with this call id, and with the longest body that is allowed.
+fn large_request(id: usize) -> String {
+    let length = MAX_BODY_BYTES;
+    format!(
+        "POST /correct/1 HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: {id}\r\n\
+        X-Budget-Ms: 600\r\nContent-Length: {length}\r\n\r\n{}",
+        "x".repeat(length)
+    )
+}
+
 /// Reads the status line's beginning of a response that comes within [`RESPONSE_GRACE`].
 async fn read_status(client: &mut Client) -> String {
     let mut status = [0; 12];
@@ -223,6 +235,41 @@
     });
 }
 
+/// Guards against: a request was forwarded although its client had sent more than the kernel holds
+/// and had left while it waited for room, so that its close could not be seen.
+#[test]
+fn request_of_client_that_left_while_waiting_is_not_forwarded() {
+    const WAIT: Duration = Duration::from_millis(200);
+    const REQUESTS: usize = 100;
+    let (driver, mut inbox) = mpsc::channel(4 * MAX_CONNECTIONS);
+    let downstream = downstream_with_driver(MAX_CONNECTIONS, driver);
+    with_server(downstream.server, async |address| {
+        let mut served = Vec::new();
+        for id in 0..MAX_CONNECTIONS {
+            served.push(connect_and_send(address, &complete_request(id)).await);
+        }
+        let leaving = Client::connect(address).await;
+        let requests: String = (0..REQUESTS)
+            .map(|id| large_request(REQUESTS + id))
+            .collect();
+        let mut sent = 0;
+        while let Ok(count) = leaving.0.try_write(&requests.as_bytes()[sent..]) {
+            sent += count;
+        }
+        assert!(sent < requests.len(), "the kernel cannot hold all bytes");
+        drop(leaving);
+        sleep(WAIT).await;
+        // Makes room, so that the connection that waits is served.
+        served.pop();
+        sleep(WAIT).await;
+    });
+    let mut forwarded = 0;
+    while let Ok(message) = inbox.try_recv() {
+        forwarded += usize::from(matches!(message, DriverMessage::Request(_)));
+    }
+    assert_eq!(forwarded, MAX_CONNECTIONS);
+}
+
 /// The time for the first request is counted from the accept. A client that is silent, or stops
 /// within a request, is owed the end of its connection 3 s after it has connected.
 #[test]
--- a/crates/node/src/downstream/request_body.rs
+++ b/crates/node/src/downstream/request_body.rs
@@ -61,6 +61,11 @@
         Ok(content)
     }
 
+    /// Returns whether the client may have left before its request was read.
+    pub(super) async fn client_may_have_left(&self) -> bool {
+        self.connection.may_have_closed_while_waiting().await
+    }
+
     /// Reads a body of `length` bytes to its end.
     async fn read_all(&self, body: &mut Incoming, length: usize) -> Result<Bytes, BodyError> {
         let mut content = BytesMut::with_capacity(length);
--- a/crates/node/src/socket/handle.rs
+++ b/crates/node/src/socket/handle.rs
@@ -112,6 +112,16 @@
         })
     }
 
+    /// Returns whether anything has arrived behind the request that hyper has read last: bytes, or
+    /// the end of the stream.
+    pub(crate) fn has_more_behind_request(&self) -> bool {
+        self.0.upgrade().is_none_or(|shared| {
+            !shared.read_ahead.is_empty()
+                || shared.gate.borrow().is_discarding()
+                || system_calls::unread(&shared.stream) != Unread::Nothing
+        })
+    }
+
     /// Waits until the peer has closed its side.
     ///
     /// While hyper serves a request and further bytes wait in the stream, it does not notice that
