End the stream of a client that sends noise behind discarded requests

Cause: the end of noise cannot be found, so the node would have read on, and kept the connection, for as long as such a client sent more; a close seen while discarded requests got their responses was not passed on to hyper. Both were inferred from the code. Change: hyper gets the end of the stream once every discarded request has its response. The new test of the gate checks a function that did not exist before, and the new case of incomplete_request_behind_another_times_out passed before too.

--- a/crates/node/src/socket/handle.rs
+++ b/crates/node/src/socket/handle.rs
@@ -137,7 +137,7 @@
             // The runtime learns that the peer has closed, but wakes no task for that.
             sleep(PEER_CHECK_INTERVAL).await;
             if self.is_peer_closed() {
-                return;
+                break;
             }
         }
         shared.set_ended();
--- a/crates/node/src/socket/request_gate.rs
+++ b/crates/node/src/socket/request_gate.rs
@@ -86,10 +86,17 @@
         if self.is_closed {
             !self.passed_placeholder
         } else {
-            self.discarded == Some(0)
+            self.discarded == Some(0) && !self.is_lost()
         }
     }
 
+    /// Returns whether every discarded request has got its response, and what follows them is no
+    /// request. Nothing can pass any more.
+    pub(super) fn is_lost(&self) -> bool {
+        let scanner = self.scanner.as_ref();
+        self.discarded == Some(0) && scanner.is_some_and(RequestScanner::is_lost)
+    }
+
     /// Returns whether a placeholder may pass.
     pub(super) fn has_placeholder(&self) -> bool {
         !self.is_closed && self.discarded.is_some_and(|count| count > 0)
--- a/crates/node/src/socket/request_gate/tests.rs
+++ b/crates/node/src/socket/request_gate/tests.rs
@@ -49,3 +49,17 @@
     assert_eq!(gate.pass(&bytes), bytes.len());
     assert!(!gate.is_closed());
 }
+
+/// Guards against: a client that sent noise behind many requests kept its connection for as long as
+/// it sent more.
+#[test]
+fn noise_behind_requests_ends_the_stream() {
+    let mut gate = closed_gate();
+    gate.discard(REQUEST);
+    gate.discard(b"no HTTP at all\r\n\r\n");
+    gate.open();
+    assert!(!gate.is_lost(), "a discarded request has no response");
+    gate.pass_placeholder();
+    gate.open();
+    assert!(gate.is_lost() && !gate.needs_discarding());
+}
--- a/crates/node/src/socket/request_scanner.rs
+++ b/crates/node/src/socket/request_scanner.rs
@@ -49,6 +49,11 @@
         matches!(&self.0, ScannerState::Head(scanned) if scanned.is_empty())
     }
 
+    /// Returns whether the end of the current request cannot be found.
+    pub(super) fn is_lost(&self) -> bool {
+        matches!(self.0, ScannerState::Unknown)
+    }
+
     /// Scans bytes up to the end of the current request. Returns their number if its end is among
     /// them, so that the bytes that follow belong to the next request. Otherwise all bytes have been
     /// scanned.
--- a/crates/node/src/socket/shared.rs
+++ b/crates/node/src/socket/shared.rs
@@ -72,7 +72,8 @@
     /// Discards bytes behind a request that has passed.
     pub(super) fn discard(&self, bytes: &[u8]) {
         self.gate.borrow_mut().discard(bytes);
-        if self.gate.borrow().has_placeholder() {
+        let gate = self.gate.borrow();
+        if gate.has_placeholder() || gate.is_lost() {
             self.wake_reader();
         }
     }
@@ -83,8 +84,8 @@
         self.wake_reader();
     }
 
-    /// Passes the placeholder of a discarded request to hyper. Waits for one if there is none and
-    /// the peer has not closed its side.
+    /// Passes the placeholder of a discarded request to hyper. If there is none, ends the stream for
+    /// hyper if the peer has closed its side or sends no requests, and waits for one otherwise.
     pub(super) fn poll_placeholder(
         &self,
         cx: &Context<'_>,
@@ -95,7 +96,7 @@
             buffer.put_slice(&placeholder[..count]);
             return Poll::Ready(());
         }
-        if self.has_ended.get() {
+        if self.has_ended.get() || self.gate.borrow().is_lost() {
             return Poll::Ready(());
         }
         self.set_reader(cx);
--- a/crates/node/tests/node/slow_clients.rs
+++ b/crates/node/tests/node/slow_clients.rs
@@ -62,10 +62,11 @@
         "POST /correct/1",
         &format!("Content-Length: 60000\r\n{}", common_headers(5000)),
     );
-    // The last one is longer than what the node holds behind a request that is being served.
+    // The last ones are longer than what the node holds behind a request that is being served.
     for incomplete in [
         INCOMPLETE_HEAD.to_owned(),
         format!("{body_head}{}", "x".repeat(50_000)),
+        "no HTTP\r\n\r\n".repeat(5_000),
     ] {
         let (releaser, gate) = reply_gate();
         let endpoint = ScriptedEndpoint::start(move |_| {
